--- a/execution/attempts.go
+++ b/execution/attempts.go
@@ -97,9 +97,13 @@
 	budgetBucket  = time.Second
 )
 
-// Budget limits the retries of one service. The zero value is ready. It is not
-// safe for concurrent use.
+// Budget limits the retries of one service. The zero value is ready and uses
+// BudgetShare and MinRetries. It is not safe for concurrent use.
 type Budget struct {
+	// Share is the share of recent requests that may be retries, and Min is
+	// how many the window allows in any case. 0 means the default.
+	Share, Min float64
+
 	start   time.Time
 	buckets [budgetBuckets]budgetCount
 }
@@ -123,13 +127,25 @@
 			retries += c.retries
 		}
 	}
-	if float64(retries+1) > max(MinRetries, BudgetShare*float64(requests)) {
+	if float64(retries+1) > b.allowed(requests) {
 		return false
 	}
 	current.retries++
 	return true
 }
 
+// allowed returns how many retries the window allows.
+func (b *Budget) allowed(requests int) float64 {
+	share, least := b.Share, b.Min
+	if share == 0 {
+		share = BudgetShare
+	}
+	if least == 0 {
+		least = MinRetries
+	}
+	return max(least, share*float64(requests))
+}
+
 // bucket returns the counts of the current second.
 func (b *Budget) bucket(now time.Time) *budgetCount {
 	if b.start.IsZero() {
--- /dev/null
+++ b/fleet/follower.go
@@ -0,0 +1,197 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"godwitlock.example/godwitlock/clock"
+	"godwitlock.example/godwitlock/directory"
+	"godwitlock.example/godwitlock/fleet/fleetpb"
+	"godwitlock.example/godwitlock/keyrange"
+	"godwitlock.example/godwitlock/peer"
+	"godwitlock.example/godwitlock/topo"
+	"godwitlock.example/godwitlock/view"
+)
+
+const (
+	// followSlack is how much longer than it waits a call of Follow may take.
+	followSlack = 350 * time.Millisecond
+	// reportTimeout bounds a report.
+	reportTimeout = 400 * time.Millisecond
+)
+
+// Follower takes news from the leader into the view. It is safe for concurrent
+// use.
+type Follower struct {
+	self  view.Member
+	boot  string
+	view  *view.View
+	peers *peer.Pool
+	// setConfig decodes a configuration and puts it in force.
+	setConfig func(raw []byte, rev int64) error
+
+	mu    sync.Mutex
+	heard time.Time
+	known time.Time
+	// lastDirectory, lastMembers and term say what the leader told last.
+	term          topo.Term
+	lastDirectory uint64
+	lastMembers   uint64
+}
+
+// NewFollower returns a follower. SetConfig decodes a configuration and puts
+// it in force.
+func NewFollower(self view.Member, boot string, v *view.View, peers *peer.Pool, setConfig func([]byte, int64) error) *Follower {
+	return &Follower{self: self, boot: boot, view: v, peers: peers, setConfig: setConfig}
+}
+
+// Heard returns when the leader last answered, and up to when it then knew the
+// store.
+func (f *Follower) Heard() (heard, known time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.heard, f.known
+}
+
+// Follow asks the leader at addr for news once and takes them over.
+func (f *Follower) Follow(ctx context.Context, addr string, leaving bool) error {
+	conn, err := f.peers.Conn(addr)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, FollowWait+followSlack)
+	defer cancel()
+	sent := clock.Boot()
+	resp, err := fleetpb.NewFleetClient(conn).Follow(ctx, f.request(leaving))
+	if err != nil {
+		return errors.Annotatef(err, "following the leader at %s", addr)
+	}
+	if !resp.GetLeads() {
+		return errors.Errorf("VM at %s does not lead", addr)
+	}
+	return f.apply(resp, sent)
+}
+
+func (f *Follower) request(leaving bool) *fleetpb.FollowRequest {
+	_, configRev := f.view.Config()
+	at := f.view.Tables()
+	req := &fleetpb.FollowRequest{
+		Vm: string(f.self.VM), Boot: f.boot, DataCentre: string(f.self.DataCentre), Addr: f.self.Addr, Leaving: leaving,
+		ConfigRev: configRev, TableVersion: at.Version, WaitMs: FollowWait.Milliseconds(),
+	}
+	f.view.Directory(func(d *directory.Directory) { req.ServersRev = d.Rev() })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	req.Term, req.DirectoryVersion, req.MembersVersion = uint64(f.term), f.lastDirectory, f.lastMembers
+	if at.Term != f.term {
+		req.TableVersion = 0
+	}
+	return req
+}
+
+func (f *Follower) apply(resp *fleetpb.FollowResponse, sent time.Time) error {
+	known := sent.Add(-millis(resp.GetAgeMs()))
+	if len(resp.GetConfig()) > 0 {
+		if err := f.setConfig(resp.GetConfig(), resp.GetConfigRev()); err != nil {
+			return err
+		}
+	}
+	if err := f.applyTables(resp); err != nil {
+		return err
+	}
+	now := clock.Boot()
+	if len(resp.GetIds()) > 0 || resp.GetServersRev() > 0 {
+		f.view.Directory(func(d *directory.Directory) { applyDirectory(d, resp, now) })
+	}
+	if len(resp.GetMembers()) > 0 {
+		f.view.SetMembers(resp.GetMembersVersion(), members(resp))
+	}
+	f.view.Confirm(known)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.heard, f.known, f.term = now, known, topo.Term(resp.GetTerm())
+	f.lastDirectory, f.lastMembers = resp.GetDirectoryVersion(), resp.GetMembersVersion()
+	return nil
+}
+
+func (f *Follower) applyTables(resp *fleetpb.FollowResponse) error {
+	if len(resp.GetTables()) == 0 {
+		return nil
+	}
+	tables := make(map[topo.ServiceName]*keyrange.Table)
+	for _, data := range resp.GetTables() {
+		t, err := keyrange.Decode(data)
+		if err != nil {
+			return err
+		}
+		tables[t.Service] = t
+	}
+	f.view.SetTables(view.TableVersion{Term: topo.Term(resp.GetTerm()), Version: resp.GetTableVersion()}, tables)
+	return nil
+}
+
+func applyDirectory(d *directory.Directory, resp *fleetpb.FollowResponse, now time.Time) {
+	ids := make(map[topo.ServerID]bool)
+	for _, id := range resp.GetIds() {
+		ids[topo.ServerID(id)] = true
+	}
+	for _, s := range resp.GetServers() {
+		d.Put(directory.Server{
+			ID: topo.ServerID(s.GetId()), Service: topo.ServiceName(s.GetService()), Addr: s.GetAddr(),
+			DataCentre: topo.DataCentreName(s.GetDataCentre()), Slots: int(s.GetSlots()),
+			State: directory.State(s.GetState()), Born: s.GetBorn(),
+			ColdFor: millis(s.GetColdMs()), SeenAt: now, Rev: s.GetRev(),
+		})
+	}
+	d.Sync(ids, resp.GetServersRev())
+	names := make([]topo.DataCentreName, 0, len(resp.GetEvacuated()))
+	for _, n := range resp.GetEvacuated() {
+		names = append(names, topo.DataCentreName(n))
+	}
+	d.SetEvacuated(names, resp.GetEvacuationRev())
+}
+
+func members(resp *fleetpb.FollowResponse) []view.Member {
+	out := make([]view.Member, 0, len(resp.GetMembers()))
+	for _, m := range resp.GetMembers() {
+		out = append(out, view.Member{
+			VM: topo.VMID(m.GetVm()), Addr: m.GetAddr(), DataCentre: topo.DataCentreName(m.GetDataCentre()),
+		})
+	}
+	return out
+}
+
+// Report sends a report to the leader at addr and returns the tokens that it
+// brought.
+func (f *Follower) Report(ctx context.Context, addr string, req *fleetpb.ReportRequest) (map[topo.CustomerID]float64, error) {
+	conn, err := f.peers.Conn(addr)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	resp, err := fleetpb.NewFleetClient(conn).Report(ctx, req)
+	if err != nil {
+		return nil, errors.Annotatef(err, "report to the leader at %s", addr)
+	}
+	if !resp.GetLeads() {
+		return nil, errors.Errorf("VM at %s does not lead", addr)
+	}
+	return tokens(resp), nil
+}
+
+// ReportHere is Report on the VM that leads.
+func (h *Hub) ReportHere(req *fleetpb.ReportRequest) map[topo.CustomerID]float64 {
+	return tokens(h.report(req))
+}
+
+func tokens(resp *fleetpb.ReportResponse) map[topo.CustomerID]float64 {
+	out := make(map[topo.CustomerID]float64, len(resp.GetTokens()))
+	for id, n := range resp.GetTokens() {
+		out[topo.CustomerID(id)] = n
+	}
+	return out
+}
--- /dev/null
+++ b/fleet/hub.go
@@ -0,0 +1,314 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"godwitlock.example/godwitlock/clock"
+	"godwitlock.example/godwitlock/directory"
+	"godwitlock.example/godwitlock/fleet/fleetpb"
+	"godwitlock.example/godwitlock/keyrange"
+	"godwitlock.example/godwitlock/quota"
+	"godwitlock.example/godwitlock/topo"
+	"godwitlock.example/godwitlock/view"
+)
+
+const (
+	// FollowWait is the longest time that a follower waits for news.
+	FollowWait = 400 * time.Millisecond
+	// memberTTL is how long a VM counts as alive after it was heard. It
+	// leaves two calls of Follow.
+	memberTTL = 1300 * time.Millisecond
+)
+
+// Loads receives what VMs report of their work.
+type Loads interface {
+	// Count records requests for keys of a bucket of a keyed service.
+	Count(service topo.ServiceName, bucket int, n float64)
+	// Answered records answers of a server and their mean time of work.
+	Answered(id topo.ServerID, n int, mean time.Duration)
+}
+
+// member is a VM that follows.
+type member struct {
+	view.Member
+	seen time.Time
+}
+
+// Hub is what a leader tells the other VMs. It is safe for concurrent use.
+type Hub struct {
+	view *view.View
+	self view.Member
+	// leads returns the term while this VM leads.
+	leads func() (topo.Term, bool)
+	// knownAt returns the time up to which this VM knows the store.
+	knownAt func() time.Time
+	loads   Loads
+
+	mu      sync.Mutex
+	members map[topo.VMID]*member
+	version uint64
+	tables  [][]byte
+	at      view.TableVersion
+	ledger  *quota.Ledger
+	changed chan struct{}
+}
+
+// NewHub returns a hub.
+func NewHub(v *view.View, self view.Member, leads func() (topo.Term, bool), knownAt func() time.Time, loads Loads) *Hub {
+	return &Hub{
+		view: v, self: self, leads: leads, knownAt: knownAt, loads: loads,
+		members: make(map[topo.VMID]*member), changed: make(chan struct{}),
+	}
+}
+
+// Begin starts a term with a new ledger of customers' rates.
+func (h *Hub) Begin(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ledger = quota.NewLedger(now)
+	h.members = make(map[topo.VMID]*member)
+	h.version = uint64(now.UnixNano())
+	h.publishMembers()
+}
+
+// End stops the ledger.
+func (h *Hub) End() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ledger = nil
+}
+
+// Ledger changes the ledger while this VM leads.
+func (h *Hub) Ledger(f func(*quota.Ledger)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ledger != nil {
+		f(h.ledger)
+	}
+}
+
+// Publish puts tables in force here and at the VMs that follow.
+func (h *Hub) Publish(at view.TableVersion, tables map[topo.ServiceName]*keyrange.Table) error {
+	var encoded [][]byte
+	for _, t := range tables {
+		data, err := t.Encode()
+		if err != nil {
+			return err
+		}
+		encoded = append(encoded, data)
+	}
+	h.view.SetTables(at, tables)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tables, h.at = encoded, at
+	h.wake()
+	return nil
+}
+
+// Expire forgets VMs that were not heard of.
+func (h *Hub) Expire(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	gone := false
+	for id, m := range h.members {
+		if now.Sub(m.seen) > memberTTL {
+			delete(h.members, id)
+			gone = true
+		}
+	}
+	if gone {
+		h.publishMembers()
+	}
+}
+
+// publishMembers tells all VMs of the members. The lock is held.
+func (h *Hub) publishMembers() {
+	h.version++
+	h.view.SetMembers(h.version, h.list())
+	h.wake()
+}
+
+func (h *Hub) list() []view.Member {
+	out := []view.Member{h.self}
+	for _, m := range h.members {
+		out = append(out, m.Member)
+	}
+	return out
+}
+
+func (h *Hub) wake() {
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// heard records that a VM follows. The lock is held.
+func (h *Hub) heard(req *fleetpb.FollowRequest, now time.Time) {
+	id := topo.VMID(req.GetVm())
+	if id == h.self.VM {
+		return
+	}
+	if req.GetLeaving() {
+		if h.members[id] != nil {
+			delete(h.members, id)
+			h.publishMembers()
+		}
+		return
+	}
+	m := view.Member{VM: id, Addr: req.GetAddr(), DataCentre: topo.DataCentreName(req.GetDataCentre())}
+	old := h.members[id]
+	h.members[id] = &member{Member: m, seen: now}
+	if old == nil || old.Member != m {
+		h.publishMembers()
+	}
+}
+
+// follow waits for news and returns it.
+func (h *Hub) follow(ctx context.Context, req *fleetpb.FollowRequest) *fleetpb.FollowResponse {
+	term, leads := h.leads()
+	if !leads {
+		return &fleetpb.FollowResponse{}
+	}
+	timer := time.NewTimer(min(millis(req.GetWaitMs()), FollowWait))
+	defer timer.Stop()
+	for {
+		h.mu.Lock()
+		h.heard(req, clock.Boot())
+		tables := h.changed
+		news := h.news(req, term)
+		h.mu.Unlock()
+		if news {
+			break
+		}
+		seen := h.view.Changed()
+		if h.stale(req, term) {
+			break
+		}
+		select {
+		case <-tables:
+			continue
+		case <-seen:
+			continue
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		break
+	}
+	return h.response(req, term)
+}
+
+// news reports whether tables or members have changed. The lock is held.
+func (h *Hub) news(req *fleetpb.FollowRequest, term topo.Term) bool {
+	if h.version != req.GetMembersVersion() {
+		return true
+	}
+	known := view.TableVersion{Term: topo.Term(req.GetTerm()), Version: req.GetTableVersion()}
+	return h.at.Term == term && h.at.Newer(known)
+}
+
+// stale reports whether the follower lacks a configuration or a version of the
+// directory that this VM knows.
+func (h *Hub) stale(req *fleetpb.FollowRequest, term topo.Term) bool {
+	_, rev := h.view.Config()
+	if rev > req.GetConfigRev() {
+		return true
+	}
+	stale := false
+	h.view.Directory(func(d *directory.Directory) { stale = directoryStale(d, req, term) })
+	return stale
+}
+
+func directoryStale(d *directory.Directory, req *fleetpb.FollowRequest, term topo.Term) bool {
+	return topo.Term(req.GetTerm()) != term || req.GetDirectoryVersion() != d.Version()
+}
+
+func (h *Hub) response(req *fleetpb.FollowRequest, term topo.Term) *fleetpb.FollowResponse {
+	now := clock.Boot()
+	out := &fleetpb.FollowResponse{Leads: true, Term: uint64(term), AgeMs: now.Sub(h.knownAt()).Milliseconds()}
+	raw, rev := h.view.Config()
+	if out.ConfigRev = rev; rev > req.GetConfigRev() {
+		out.Config = raw
+	}
+	h.view.Directory(func(d *directory.Directory) { putDirectory(out, d, req, term, now) })
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if out.MembersVersion = h.version; h.version != req.GetMembersVersion() {
+		for _, m := range h.list() {
+			out.Members = append(out.Members, &fleetpb.Member{
+				Vm: string(m.VM), Addr: m.Addr, DataCentre: string(m.DataCentre),
+			})
+		}
+	}
+	if h.news(req, term) && h.at.Term == term {
+		out.TableVersion, out.Tables = h.at.Version, h.tables
+	}
+	return out
+}
+
+func putDirectory(out *fleetpb.FollowResponse, d *directory.Directory, req *fleetpb.FollowRequest, term topo.Term, now time.Time) {
+	out.DirectoryVersion = d.Version()
+	if !directoryStale(d, req, term) {
+		return
+	}
+	out.ServersRev, out.EvacuationRev = d.Rev(), d.EvacuationRev()
+	d.Servers(func(s *directory.Server) {
+		out.Ids = append(out.Ids, string(s.ID))
+		if s.Rev > req.GetServersRev() {
+			out.Servers = append(out.Servers, serverMessage(s, now))
+		}
+	})
+	for _, name := range d.Evacuated() {
+		out.Evacuated = append(out.Evacuated, string(name))
+	}
+}
+
+func serverMessage(s *directory.Server, now time.Time) *fleetpb.Server {
+	m := &fleetpb.Server{
+		Id: string(s.ID), Service: string(s.Service), Addr: s.Addr, DataCentre: string(s.DataCentre),
+		Slots: int32(s.Slots), State: int32(s.State), Born: s.Born, Rev: s.Rev,
+	}
+	if s.Cold(now) {
+		m.ColdMs = s.SeenAt.Add(s.ColdFor).Sub(now).Milliseconds()
+	}
+	return m
+}
+
+// report takes a VM's report and returns tokens.
+func (h *Hub) report(req *fleetpb.ReportRequest) *fleetpb.ReportResponse {
+	if _, leads := h.leads(); !leads {
+		return &fleetpb.ReportResponse{}
+	}
+	for _, l := range req.GetLoads() {
+		for i, b := range l.GetBuckets() {
+			if i < len(l.GetCounts()) {
+				h.loads.Count(topo.ServiceName(l.GetService()), int(b), float64(l.GetCounts()[i]))
+			}
+		}
+	}
+	for _, w := range req.GetWork() {
+		h.loads.Answered(topo.ServerID(w.GetServer()), int(w.GetAnswers()), micros(w.GetMeanUs()))
+	}
+	return &fleetpb.ReportResponse{Leads: true, Tokens: h.exchange(req)}
+}
+
+func (h *Hub) exchange(req *fleetpb.ReportRequest) map[string]float64 {
+	reports := make([]quota.Report, 0, len(req.GetTokens()))
+	for _, t := range req.GetTokens() {
+		reports = append(reports, quota.Report{
+			Customer: topo.CustomerID(t.GetCustomer()), Held: t.GetHeld(), Asked: t.GetAsked(),
+		})
+	}
+	out := make(map[string]float64)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ledger == nil {
+		return out
+	}
+	for id, n := range h.ledger.Exchange(clock.Boot(), topo.VMID(req.GetVm()), millis(req.GetIntervalMs()), reports) {
+		out[string(id)] = n
+	}
+	return out
+}
+
+func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
--- /dev/null
+++ b/fleet/server.go
@@ -0,0 +1,73 @@
+package fleet
+
+import (
+	"context"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"godwitlock.example/godwitlock/broker"
+	"godwitlock.example/godwitlock/clock"
+	"godwitlock.example/godwitlock/fleet/fleetpb"
+	"godwitlock.example/godwitlock/permit"
+	"godwitlock.example/godwitlock/topo"
+)
+
+// Server answers other VMs.
+type Server struct {
+	fleetpb.UnimplementedFleetServer
+	hub    *Hub
+	broker *broker.Broker
+}
+
+// NewServer returns the service of a VM.
+func NewServer(hub *Hub, b *broker.Broker) *Server { return &Server{hub: hub, broker: b} }
+
+// Follow implements fleetpb.FleetServer.
+func (s *Server) Follow(ctx context.Context, req *fleetpb.FollowRequest) (*fleetpb.FollowResponse, error) {
+	return s.hub.follow(ctx, req), nil
+}
+
+// Report implements fleetpb.FleetServer.
+func (s *Server) Report(_ context.Context, req *fleetpb.ReportRequest) (*fleetpb.ReportResponse, error) {
+	return s.hub.report(req), nil
+}
+
+// Acquire implements fleetpb.FleetServer.
+func (s *Server) Acquire(ctx context.Context, req *fleetpb.AcquireRequest) (*fleetpb.AcquireResponse, error) {
+	now := clock.Boot()
+	r := permit.Request{
+		Customer: topo.CustomerID(req.GetCustomer()), Priority: int(req.GetPriority()),
+		StartBy: now.Add(millis(req.GetPatienceMs())), PromptBy: now.Add(millis(req.GetPromptMs())),
+		Lease: millis(req.GetLeaseMs()), DataCentre: topo.DataCentreName(req.GetDataCentre()),
+	}
+	for _, id := range req.GetAvoid() {
+		r.Avoid = append(r.Avoid, topo.ServerID(id))
+	}
+	d, ok := s.broker.Acquire(ctx, req.GetPool(), r)
+	if !ok {
+		return nil, status.FromContextError(ctx.Err()).Err()
+	}
+	if d.Verdict != permit.Granted {
+		return &fleetpb.AcquireResponse{
+			Verdict: fleetpb.AcquireResponse_REFUSED, RetryAfterMs: d.RetryAfter.Milliseconds(),
+		}, nil
+	}
+	if ctx.Err() != nil {
+		s.broker.Finish(req.GetPool(), d.ID, permit.Result{})
+		return nil, status.Error(codes.Canceled, "request was withdrawn")
+	}
+	return &fleetpb.AcquireResponse{
+		Verdict: fleetpb.AcquireResponse_GRANTED, Server: string(d.Server), Permit: d.ID,
+	}, nil
+}
+
+// Finish implements fleetpb.FleetServer.
+func (s *Server) Finish(_ context.Context, req *fleetpb.FinishRequest) (*fleetpb.FinishResponse, error) {
+	for _, f := range req.GetFinished() {
+		s.broker.Finish(f.GetPool(), f.GetPermit(), permit.Result{
+			Work: micros(f.GetWorkUs()), Shed: f.GetShed(), Failed: f.GetFailed(),
+		})
+	}
+	return &fleetpb.FinishResponse{}, nil
+}
--- /dev/null
+++ b/fleet/slots.go
@@ -0,0 +1,189 @@
+// Package fleet is how the VMs work together: they follow the leader, report to
+// it, and ask one another for the slots of backend servers.
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"godwitlock.example/godwitlock/broker"
+	"godwitlock.example/godwitlock/clock"
+	"godwitlock.example/godwitlock/fleet/fleetpb"
+	"godwitlock.example/godwitlock/forward"
+	"godwitlock.example/godwitlock/peer"
+	"godwitlock.example/godwitlock/permit"
+	"godwitlock.example/godwitlock/topo"
+	"godwitlock.example/godwitlock/view"
+)
+
+const (
+	// checkAfter is how long a request waits at a home VM before the VM is
+	// asked whether it is alive, and checkTimeout how long that may take.
+	checkAfter   = 250 * time.Millisecond
+	checkTimeout = 250 * time.Millisecond
+	// suspectTime is how long a home VM that did not answer is passed over.
+	suspectTime = 1500 * time.Millisecond
+	// finishTimeout bounds giving a slot back; its lease ends it otherwise.
+	finishTimeout = 500 * time.Millisecond
+)
+
+// errSilent ends a request for a slot at a VM that does not answer.
+var errSilent = errors.New("home VM does not answer")
+
+// Slots asks the home VMs of pools for slots. It implements forward.Slots and
+// is safe for concurrent use.
+type Slots struct {
+	self     topo.VMID
+	dc       topo.DataCentreName
+	peers    *peer.Pool
+	local    *broker.Broker
+	fallback *broker.Broker
+
+	mu      sync.Mutex
+	suspect map[string]time.Time
+}
+
+// NewSlots returns a client. Local holds the pools whose home is this VM, and
+// fallback divided ones for pools whose homes do not answer.
+func NewSlots(self topo.VMID, dc topo.DataCentreName, peers *peer.Pool, local, fallback *broker.Broker) *Slots {
+	return &Slots{
+		self: self, dc: dc, peers: peers, local: local, fallback: fallback, suspect: make(map[string]time.Time),
+	}
+}
+
+// Acquire implements forward.Slots.
+func (s *Slots) Acquire(ctx context.Context, snap *view.Snapshot, pool string, r permit.Request) (forward.Slot, permit.Decision) {
+	r.DataCentre = s.dc
+	for _, home := range snap.Homes(pool) {
+		if home.VM == s.self {
+			return s.own(ctx, s.local, pool, r)
+		}
+		if s.suspected(home.Addr) {
+			continue
+		}
+		slot, d, err := s.remote(ctx, home.Addr, pool, r)
+		if err == nil {
+			return slot, d
+		}
+		if ctx.Err() != nil {
+			return nil, permit.Decision{Verdict: permit.Refused}
+		}
+		s.setSuspect(home.Addr)
+	}
+	return s.own(ctx, s.fallback, pool, r)
+}
+
+// own takes a slot from a broker of this VM.
+func (s *Slots) own(ctx context.Context, b *broker.Broker, pool string, r permit.Request) (forward.Slot, permit.Decision) {
+	d, ok := b.Acquire(ctx, pool, r)
+	if !ok {
+		return nil, permit.Decision{Verdict: permit.Refused}
+	}
+	return ownSlot{b: b, pool: pool, id: d.ID}, d
+}
+
+type ownSlot struct {
+	b    *broker.Broker
+	pool string
+	id   uint64
+}
+
+// Finish implements forward.Slot.
+func (o ownSlot) Finish(r permit.Result) { o.b.Finish(o.pool, o.id, r) }
+
+func (s *Slots) suspected(addr string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	until, ok := s.suspect[addr]
+	if ok && clock.Boot().After(until) {
+		delete(s.suspect, addr)
+		return false
+	}
+	return ok
+}
+
+func (s *Slots) setSuspect(addr string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspect[addr] = clock.Boot().Add(suspectTime)
+}
+
+// remote asks another VM for a slot. While the request waits there, the VM is
+// checked from time to time.
+func (s *Slots) remote(ctx context.Context, addr, pool string, r permit.Request) (forward.Slot, permit.Decision, error) {
+	conn, err := s.peers.Conn(addr)
+	if err != nil {
+		return nil, permit.Decision{}, err
+	}
+	client := fleetpb.NewFleetClient(conn)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	check := time.AfterFunc(checkAfter, func() { s.check(ctx, cancel, client) })
+	defer check.Stop()
+	resp, err := client.Acquire(ctx, acquireRequest(s.self, pool, r))
+	if err != nil {
+		return nil, permit.Decision{}, errors.Annotatef(err, "slot of %s at %s", pool, addr)
+	}
+	switch resp.GetVerdict() {
+	case fleetpb.AcquireResponse_GRANTED:
+		slot := remoteSlot{client: client, vm: s.self, pool: pool, id: resp.GetPermit()}
+		return slot, permit.Decision{Verdict: permit.Granted, Server: topo.ServerID(resp.GetServer())}, nil
+	case fleetpb.AcquireResponse_REFUSED:
+		return nil, permit.Decision{Verdict: permit.Refused, RetryAfter: millis(resp.GetRetryAfterMs())}, nil
+	}
+	return nil, permit.Decision{}, errors.Errorf("VM at %s is not home of %s", addr, pool)
+}
+
+// check ends a request for a slot when its VM does not answer.
+func (s *Slots) check(ctx context.Context, cancel context.CancelCauseFunc, client fleetpb.FleetClient) {
+	for ctx.Err() == nil {
+		cctx, stop := context.WithTimeout(ctx, checkTimeout)
+		_, err := client.Finish(cctx, &fleetpb.FinishRequest{Vm: string(s.self)})
+		stop()
+		if err != nil && ctx.Err() == nil {
+			cancel(errSilent)
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(checkAfter):
+		}
+	}
+}
+
+type remoteSlot struct {
+	client fleetpb.FleetClient
+	vm     topo.VMID
+	pool   string
+	id     uint64
+}
+
+// Finish implements forward.Slot. It does not wait for the home VM.
+func (r remoteSlot) Finish(res permit.Result) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
+		defer cancel()
+		// A slot that cannot be given back ends with its lease.
+		_, _ = r.client.Finish(ctx, &fleetpb.FinishRequest{Vm: string(r.vm), Finished: []*fleetpb.Finished{{
+			Pool: r.pool, Permit: r.id, WorkUs: res.Work.Microseconds(), Shed: res.Shed, Failed: res.Failed,
+		}}})
+	}()
+}
+
+func acquireRequest(vm topo.VMID, pool string, r permit.Request) *fleetpb.AcquireRequest {
+	now := clock.Boot()
+	out := &fleetpb.AcquireRequest{
+		Vm: string(vm), Pool: pool, Priority: int32(r.Priority), Customer: string(r.Customer),
+		PatienceMs: r.StartBy.Sub(now).Milliseconds(), PromptMs: r.PromptBy.Sub(now).Milliseconds(),
+		LeaseMs: r.Lease.Milliseconds(), DataCentre: string(r.DataCentre),
+	}
+	for _, id := range r.Avoid {
+		out.Avoid = append(out.Avoid, string(id))
+	}
+	return out
+}
+
+func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- /dev/null
+++ b/forward/attempt.go
@@ -0,0 +1,371 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"godwitlock.example/godwitlock/call"
+	"godwitlock.example/godwitlock/clock"
+	"godwitlock.example/godwitlock/directory"
+	"godwitlock.example/godwitlock/egress"
+	"godwitlock.example/godwitlock/errkind"
+	"godwitlock.example/godwitlock/ingress"
+	"godwitlock.example/godwitlock/permit"
+	"godwitlock.example/godwitlock/topo"
+	"godwitlock.example/godwitlock/view"
+)
+
+const (
+	// bufferedAnswer is the longest answer that is read whole before it is
+	// passed on, so that one that breaks off can be fetched again, in bytes.
+	bufferedAnswer = 16 << 10
+	// streamTime bounds the delivery of a long answer to a caller that named
+	// no deadline.
+	streamTime = 20 * time.Second
+	// leaseSlack is how much longer than its deadline a request may keep its
+	// slot before the home VM counts it as lost.
+	leaseSlack = 300 * time.Millisecond
+)
+
+// refusal is why a request was not sent.
+type refusal struct {
+	kind   errkind.Kind
+	after  time.Duration
+	reason string
+}
+
+// run sends the request until it has an answer. Ran is false when it certainly
+// did not run.
+func (f *Forwarder) run(ctx context.Context, r *request) (ans *ingress.Answer, ran bool) {
+	work, cancel := f.workContext(ctx, r)
+	wait := false
+	for {
+		server, ref := f.attemptSlot(work, r, wait)
+		if ref != nil {
+			cancel()
+			kind := r.attempts.Truthful(ref.kind)
+			return f.refuse(r, kind, ref.after, ref.reason), kind != ref.kind
+		}
+		res := f.send(work, r, server)
+		if res.outcome == Delivered {
+			return f.deliver(r, server, res, cancel), true
+		}
+		action := r.attempts.Next(time.Now(), res.outcome, func() bool { return f.Budgets.Withdraw(r.service.Name) })
+		if r.body && action != Pass {
+			// The body was consumed.
+			action = r.attempts.truthful(Refuse)
+			if res.outcome == Lost || res.outcome == Failed {
+				action = Unknown
+			}
+		}
+		f.logAttempt(r, server, res, action)
+		r.tried = append(r.tried, server.ID)
+		switch action {
+		case Pass:
+			return f.deliver(r, server, res, cancel), true
+		case Again, AwaitOwner:
+			res.discard()
+			wait = action == AwaitOwner
+			continue
+		}
+		res.discard()
+		cancel()
+		kind := errkind.ServerUnreachable
+		switch {
+		case action == Unknown && !time.Now().Before(r.deadline):
+			kind = errkind.DeadlineAfterRun
+		case action == Unknown:
+			kind = errkind.OutcomeUnknown
+		case res.outcome == Shed:
+			kind = errkind.ServerRefused
+		case res.outcome == NotOwner:
+			kind = errkind.NoOwner
+		}
+		return f.refuse(r, kind, f.comeBack(r), res.reason), action == Unknown
+	}
+}
+
+// workContext returns the context of the work for a request. It ends at the
+// request's deadline. Repeatable work also ends when the caller is gone; work
+// that is not repeatable is left to finish once it was sent.
+func (f *Forwarder) workContext(ctx context.Context, r *request) (context.Context, context.CancelFunc) {
+	if !r.attempts.Repeatable {
+		ctx = context.WithoutCancel(ctx)
+	}
+	work, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(time.Until(r.deadline), cancel)
+	return context.WithValue(work, timerKey{}, timer), func() { timer.Stop(); cancel() }
+}
+
+// timerKey finds the timer that ends a work context.
+type timerKey struct{}
+
+// extend moves the end of a work context: an answer that has begun is
+// delivered, also when it is late.
+func extend(ctx context.Context, until time.Time) {
+	if timer, ok := ctx.Value(timerKey{}).(*time.Timer); ok && timer.Stop() {
+		timer.Reset(time.Until(until))
+	}
+}
+
+// held is a server with a slot.
+type held struct {
+	*directory.Server
+	slot Slot
+}
+
+// attemptSlot finds the server and waits for its slot. Wait asks for an owner
+// other than the last one.
+func (f *Forwarder) attemptSlot(ctx context.Context, r *request, wait bool) (held, *refusal) {
+	snap := f.View.Snapshot()
+	var pool string
+	if r.service.Keyed {
+		server, s, ref := f.owner(ctx, r, wait)
+		if ref != nil {
+			return held{}, ref
+		}
+		snap, pool = s, view.PoolOf(r.service, server)
+	} else {
+		pool = view.PoolOf(r.service, "")
+	}
+	return f.slot(ctx, snap, r, pool)
+}
+
+func (f *Forwarder) slot(ctx context.Context, snap *view.Snapshot, r *request, pool string) (held, *refusal) {
+	now, boot := time.Now(), clock.Boot()
+	left := r.deadline.Sub(now)
+	if left <= minAttempt || ctx.Err() != nil {
+		return held{}, &refusal{errkind.QueueFull, retrySoon, "no time left"}
+	}
+	prompt := r.route.Objective - now.Sub(r.Arrived)
+	slot, d := f.Slots.Acquire(ctx, snap, pool, permit.Request{
+		Customer: r.customerID(), Priority: r.priority(), Avoid: r.tried,
+		StartBy: boot.Add(time.Duration(float64(left) * maxPatience)), PromptBy: boot.Add(prompt / 2),
+		Lease: left + leaseSlack,
+	})
+	if d.Verdict != permit.Granted {
+		return held{}, &refusal{errkind.QueueFull, d.RetryAfter, "no slot at " + pool}
+	}
+	server := f.View.Snapshot().Usable(d.Server)
+	if server == nil || server.Service != r.service.Name {
+		slot.Finish(permit.Result{})
+		return held{}, &refusal{errkind.NoOwner, retrySoon, "server left"}
+	}
+	if r.customer != nil && !f.Fresh() {
+		slot.Finish(permit.Result{})
+		return held{}, &refusal{errkind.FreshnessLost, retrySoon, "configuration may be old"}
+	}
+	return held{Server: server, slot: slot}, nil
+}
+
+func (r *request) customerID() topo.CustomerID {
+	if r.customer == nil {
+		return ""
+	}
+	return r.customer.ID
+}
+
+// owner returns the server that owns the request's key. It waits for a moment
+// while the key is between two owners.
+func (f *Forwarder) owner(ctx context.Context, r *request, wait bool) (topo.ServerID, *view.Snapshot, *refusal) {
+	if !r.HasKey {
+		return "", nil, &refusal{errkind.BadRequest, 0, "request without a key"}
+	}
+	limit := min(ownerWait, time.Until(r.deadline)/2)
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	first := true
+	var last topo.ServerID
+	if n := len(r.tried); n > 0 {
+		last = r.tried[n-1]
+	}
+	for {
+		changed := f.View.Changed()
+		snap := f.View.Snapshot()
+		rng, ok := snap.Tables[r.service.Name].Find(r.Key)
+		usable := ok && !rng.Moving && snap.Usable(rng.Server) != nil
+		if usable && (!wait || rng.Server != last) {
+			return rng.Server, snap, nil
+		}
+		if first {
+			first = false
+			f.event("await_owner", r).Str("server", string(rng.Server)).Bool("moving", rng.Moving).
+				Bool("known", ok).Send()
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			if usable {
+				return rng.Server, snap, nil
+			}
+			return "", nil, &refusal{errkind.NoOwner, f.comeBack(r), "key has no owner"}
+		case <-ctx.Done():
+			return "", nil, &refusal{errkind.NoOwner, retrySoon, "key has no owner"}
+		}
+	}
+}
+
+// comeBack is when a caller should come back after a server failed it.
+func (f *Forwarder) comeBack(r *request) time.Duration {
+	return min(500*time.Millisecond, max(retrySoon, time.Until(r.deadline)/4))
+}
+
+// result is what became of an attempt.
+type result struct {
+	outcome Outcome
+	resp    *egress.Response
+	// whole is the body of an answer that was read to its end.
+	whole  []byte
+	reason string
+	work   time.Duration
+}
+
+func (r *result) discard() {
+	if r.resp != nil {
+		_ = r.resp.Body.Close()
+	}
+}
+
+// send sends the request to a server once and frees its slot, unless a long
+// answer is still to be passed on.
+func (f *Forwarder) send(ctx context.Context, r *request, server held) *result {
+	f.Stats.Arrived(r.service.Name, r.Key)
+	began := time.Now()
+	resp, err := f.Egress.Do(ctx, egress.Target{ID: server.ID, Addr: server.Addr, MaxConns: r.service.MaxConns}, r.outgoing())
+	work := time.Since(began)
+	if err != nil {
+		res := failed(err)
+		res.work = work
+		// A caller that left early says nothing about the server.
+		server.slot.Finish(permit.Result{Failed: ctx.Err() == nil || !time.Now().Before(r.deadline)})
+		return res
+	}
+	res := &result{resp: resp, work: work}
+	if resp.NotRun {
+		_ = resp.Body.Close()
+		res.resp, res.reason = nil, "server refused with status "+http.StatusText(resp.Status)
+		res.outcome = Shed
+		if resp.Status == http.StatusMisdirectedRequest {
+			res.outcome = NotOwner
+		}
+		server.slot.Finish(permit.Result{Shed: res.outcome == Shed})
+		return res
+	}
+	f.readAnswer(ctx, r, server, res)
+	return res
+}
+
+// failed turns an exchange without an answer into a result.
+func failed(err error) *result {
+	var fail *egress.Failure
+	if errors.As(err, &fail) && !fail.MayHaveRun {
+		return &result{outcome: NotSent, reason: err.Error()}
+	}
+	return &result{outcome: Lost, reason: err.Error()}
+}
+
+func (r *request) outgoing() *egress.Request {
+	return &egress.Request{
+		ID: r.ID, Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Customer: r.customerID(),
+		Body: r.Body, Stream: r.Stream, Length: r.Length, Deadline: r.deadline,
+	}
+}
+
+// readAnswer reads a short answer whole and judges it.
+func (f *Forwarder) readAnswer(ctx context.Context, r *request, server held, res *result) {
+	resp := res.resp
+	until := r.Deadline
+	if until.IsZero() {
+		until = time.Now().Add(streamTime)
+	}
+	extend(ctx, until)
+	success := resp.Status >= 200 && resp.Status < 300
+	switch {
+	case success && !resp.Sealed:
+		res.outcome, res.reason = Lost, "answer without the server's seal"
+	case resp.Status >= 500:
+		res.outcome, res.reason = Failed, "server answered "+http.StatusText(resp.Status)
+	default:
+		res.outcome = Delivered
+	}
+	if res.outcome == Lost {
+		_ = resp.Body.Close()
+		res.resp = nil
+		server.slot.Finish(permit.Result{Failed: true})
+		return
+	}
+	if resp.Length > bufferedAnswer {
+		resp.Body = call.OnEnd(resp.Body, func() { f.worked(server, res.work) })
+		return
+	}
+	f.readWhole(server, res)
+}
+
+// readWhole reads the body of an answer that is short or whose length is not
+// known.
+func (f *Forwarder) readWhole(server held, res *result) {
+	resp := res.resp
+	var buf bytes.Buffer
+	n, err := io.Copy(&buf, io.LimitReader(resp.Body, bufferedAnswer))
+	if err == nil && n == bufferedAnswer {
+		// Longer than expected: the rest is passed on as it comes.
+		rest := resp.Body
+		resp.Body = call.OnEnd(struct {
+			io.Reader
+			io.Closer
+		}{io.MultiReader(&buf, rest), rest}, func() { f.worked(server, res.work) })
+		return
+	}
+	_ = resp.Body.Close()
+	if err != nil {
+		res.outcome, res.reason, res.resp = Lost, "answer broke off: "+err.Error(), nil
+		server.slot.Finish(permit.Result{Failed: true})
+		return
+	}
+	res.whole = buf.Bytes()
+	if res.whole == nil {
+		res.whole = []byte{}
+	}
+	if res.outcome == Failed {
+		// A failure says nothing about the time that work takes.
+		server.slot.Finish(permit.Result{Failed: true})
+		return
+	}
+	f.worked(server, res.work)
+}
+
+func (f *Forwarder) worked(server held, d time.Duration) {
+	server.slot.Finish(permit.Result{Work: d})
+	f.Stats.Worked(server.ID, d)
+}
+
+// deliver turns an answer into the caller's.
+func (f *Forwarder) deliver(r *request, server held, res *result, cancel context.CancelFunc) *ingress.Answer {
+	resp := res.resp
+	took := time.Since(r.Arrived)
+	f.Stats.Answered(r.routeName(), "served", took)
+	ans := &ingress.Answer{Status: resp.Status, Header: resp.Header, Length: resp.Length}
+	if res.whole != nil {
+		cancel()
+		ans.Body = res.whole
+		return ans
+	}
+	ans.Stream = call.OnEnd(resp.Body, cancel)
+	ans.Written = func(err error) {
+		if err != nil {
+			f.event("answer_cut", r).Str("server", string(server.ID)).Err(err).Send()
+		}
+	}
+	return ans
+}
+
+func (f *Forwarder) logAttempt(r *request, server held, res *result, action Action) {
+	f.event("attempt_failed", r).Str("server", string(server.ID)).Int("attempt", len(r.tried)+1).
+		Uint8("outcome", uint8(res.outcome)).Str("reason", res.reason).Uint8("action", uint8(action)).
+		Dur("work_ms", res.work).Dur("left_ms", time.Until(r.deadline)).Send()
+}
--- /dev/null
+++ b/node/assigner.go
@@ -0,0 +1,526 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+
+	"godwitlock.example/godwitlock/clock"
+	"godwitlock.example/godwitlock/directory"
+	"godwitlock.example/godwitlock/fleet"
+	"godwitlock.example/godwitlock/keyrange"
+	"godwitlock.example/godwitlock/ownership"
+	"godwitlock.example/godwitlock/placement"
+	"godwitlock.example/godwitlock/quota"
+	"godwitlock.example/godwitlock/ring"
+	"godwitlock.example/godwitlock/routemap"
+	"godwitlock.example/godwitlock/store"
+	"godwitlock.example/godwitlock/topo"
+	"godwitlock.example/godwitlock/view"
+)
+
+const (
+	// assignInterval is how often the leader looks for orders that are due.
+	assignInterval = 100 * time.Millisecond
+	// planInterval is how often the leader looks for better places of keys.
+	planInterval = 400 * time.Millisecond
+	// firstServers is how long the leader waits for servers to register
+	// before it divides the keys of a service for the first time.
+	firstServers = 1500 * time.Millisecond
+	// tableCallTimeout bounds a call for a table.
+	tableCallTimeout = time.Second
+	// ordersAtOnce bounds the orders on their way.
+	ordersAtOnce = 96
+)
+
+// assigner orders servers to hold keys while this VM leads. Its machines
+// belong to the goroutine of Run.
+type assigner struct {
+	node     *Node
+	machines map[topo.ServiceName]*ownership.Machine
+	loads    *loads
+	// pending is when the first usable server of a service without a table
+	// was seen.
+	pending map[topo.ServiceName]time.Time
+	results *ring.Ring[func()]
+	onWay   int
+	term    topo.Term
+	version uint64
+	told    uint64
+	planned time.Time
+	context context.Context
+}
+
+func newAssigner(n *Node, l *loads) *assigner {
+	return &assigner{node: n, loads: l, results: ring.New[func()](2*ordersAtOnce, ring.Block)}
+}
+
+// Run assigns keys whenever this VM leads, until ctx ends.
+func (a *assigner) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		term, leads := a.node.lease.Leads()
+		if !leads {
+			pause(ctx, assignInterval)
+			continue
+		}
+		a.lead(ctx, term)
+	}
+	return ctx.Err()
+}
+
+// lead assigns keys during one term.
+func (a *assigner) lead(ctx context.Context, term topo.Term) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	start := clock.Boot()
+	a.term, a.version, a.told, a.onWay, a.context = term, uint64(start.UnixNano()), 0, 0, ctx
+	a.machines = make(map[topo.ServiceName]*ownership.Machine)
+	a.pending = make(map[topo.ServiceName]time.Time)
+	a.loads.reset()
+	a.node.hub.Begin(start)
+	defer a.node.hub.End()
+	for !a.adopt(ctx, start) {
+		if !a.leads() || ctx.Err() != nil {
+			return
+		}
+		pause(ctx, assignInterval)
+	}
+	t := time.NewTicker(assignInterval)
+	defer t.Stop()
+	for a.leads() && ctx.Err() == nil {
+		a.round()
+		select {
+		case <-t.C:
+		case f := <-a.results.C():
+			f()
+		case <-ctx.Done():
+		}
+		a.drainResults()
+	}
+}
+
+func (a *assigner) drainResults() {
+	for {
+		select {
+		case f := <-a.results.C():
+			f()
+		default:
+			return
+		}
+	}
+}
+
+// leads reports whether this VM still leads the term.
+func (a *assigner) leads() bool {
+	term, leads := a.node.lease.Leads()
+	return leads && term == a.term
+}
+
+// adopt takes over the stored tables. Each is written again under the new
+// term, so that no write of an earlier leader can follow.
+func (a *assigner) adopt(ctx context.Context, start time.Time) bool {
+	ctx, cancel := context.WithTimeout(ctx, tableCallTimeout)
+	defer cancel()
+	l, err := a.node.platform.Objects().List(ctx, a.node.platform.OwnKey("tables", ""))
+	if err != nil {
+		a.node.log.Event("tables_unread").Err(err).Send()
+		return false
+	}
+	for _, o := range l.Objects {
+		t, err := keyrange.Decode(o.Value)
+		if err != nil {
+			a.node.log.Event("table_unreadable").Str("object", o.Key).Err(err).Send()
+			return false
+		}
+		if a.machines[t.Service] != nil {
+			continue
+		}
+		t.Term = a.term
+		version, err := a.put(ctx, t, o.Version)
+		if err != nil {
+			a.node.log.Event("table_unwritten").Str("service", string(t.Service)).Err(err).Send()
+			return false
+		}
+		a.machines[t.Service] = ownership.New(start, t, version, a.node.set.Bounds.MaxHold)
+		a.node.log.Event("table_adopted").Str("service", string(t.Service)).Int("ranges", len(t.Ranges)).Send()
+	}
+	return true
+}
+
+func (a *assigner) put(ctx context.Context, t *keyrange.Table, version uint64) (uint64, error) {
+	data, err := t.Encode()
+	if err != nil {
+		return 0, err
+	}
+	key := a.node.platform.OwnKey("tables", string(t.Service))
+	o, err := a.node.platform.Objects().Put(ctx, key, data, version, uuid.NewString())
+	return o.Version, err
+}
+
+// round does what is due.
+func (a *assigner) round() {
+	now := clock.Boot()
+	a.node.hub.Expire(now)
+	a.node.view.Directory(func(d *directory.Directory) { d.Expire(now) })
+	snap := a.node.view.Snapshot()
+	if snap.Routes == nil {
+		return
+	}
+	a.limits(now, snap.Routes)
+	snap.Routes.Services(func(svc *routemap.Service) {
+		if svc.Keyed {
+			a.service(now, snap, svc)
+		}
+	})
+	if now.Sub(a.planned) >= planInterval {
+		a.planned = now
+		a.plan(now, snap)
+	}
+	a.publish()
+}
+
+// limits tells the ledger the customers' rates. The part of the burst that may
+// exist at VMs uses some of what the deployment allows beyond the rate.
+func (a *assigner) limits(now time.Time, m *routemap.Map) {
+	b := &a.node.set.Bounds
+	a.node.hub.Ledger(func(l *quota.Ledger) {
+		m.Customers(func(c *routemap.Customer) {
+			over := b.RateOverrun*(c.Rate*b.RateWindow.Seconds()+c.Burst)*rateOverrunUsed + b.RateSlack*rateSlackUsed
+			l.SetLimit(now, c.ID, quota.Allowance{Rate: c.Rate, Burst: c.Burst + over})
+		})
+	})
+}
+
+// rateOverrunUsed and rateSlackUsed are the parts of the allowed overrun that
+// tokens at VMs may make up; the rest covers delays on the way to servers.
+const rateOverrunUsed, rateSlackUsed = 0.6, 0.5
+
+// service does what is due for one keyed service.
+func (a *assigner) service(now time.Time, snap *view.Snapshot, svc *routemap.Service) {
+	m := a.machines[svc.Name]
+	if m == nil {
+		a.first(now, snap, svc)
+		return
+	}
+	if len(m.Holds()) == 0 {
+		a.fill(m, snap, svc)
+	}
+	a.assignFree(now, m, snap, svc)
+	a.store(m)
+	a.loads.with(svc.Name, func(l *placement.Load) { a.divideLeaving(m, snap, svc, l) })
+	if a.onWay >= ordersAtOnce {
+		return
+	}
+	for _, o := range m.Tick(now, func(o keyrange.Owner) ownership.Condition { return condition(snap, svc, o) }) {
+		a.send(m, snap, o)
+	}
+}
+
+// condition tells what the directory says of an owner.
+func condition(snap *view.Snapshot, svc *routemap.Service, o keyrange.Owner) ownership.Condition {
+	s := snap.Servers[o.Server]
+	switch {
+	case s != nil && s.Born != o.Born:
+		return ownership.Dead
+	case s == nil || s.Service != svc.Name || snap.Unusable[o.Server]:
+		return ownership.Unusable
+	}
+	return ownership.Usable
+}
+
+// first starts the table of a service once its servers have had time to
+// register.
+func (a *assigner) first(now time.Time, snap *view.Snapshot, svc *routemap.Service) {
+	if len(snap.ServersOf(svc.Name)) == 0 {
+		return
+	}
+	since, seen := a.pending[svc.Name]
+	if !seen {
+		a.pending[svc.Name] = now
+		return
+	}
+	if now.Sub(since) >= firstServers {
+		t := &keyrange.Table{Service: svc.Name, Term: a.term, NextFence: 1}
+		a.machines[svc.Name] = ownership.New(now, t, store.MustNotExist, a.node.set.Bounds.MaxHold)
+	}
+}
+
+// fill divides all keys among the usable servers.
+func (a *assigner) fill(m *ownership.Machine, snap *view.Snapshot, svc *routemap.Service) {
+	servers := placementServers(snap, svc, clock.Boot())
+	if len(servers) == 0 {
+		return
+	}
+	var ranges []keyrange.Range
+	for _, p := range placement.Initial(servers) {
+		ranges = append(ranges, keyrange.Range{First: p.First, Last: p.Last, Owner: ownerOf(snap, p.Owner)})
+	}
+	m.Fill(ranges)
+}
+
+func ownerOf(snap *view.Snapshot, id topo.ServerID) keyrange.Owner {
+	return keyrange.Owner{Server: id, Born: snap.Servers[id].Born}
+}
+
+// placementServers returns the usable servers of a service.
+func placementServers(snap *view.Snapshot, svc *routemap.Service, now time.Time) []placement.Server {
+	var out []placement.Server
+	for _, s := range snap.ServersOf(svc.Name) {
+		p := placement.Server{ID: s.ID, Slots: s.Slots}
+		if s.Cold(now) {
+			p.ColdRate = svc.ColdRate
+		}
+		out = append(out, p)
+	}
+	return out
+}
+
+// pieces returns a machine's holds for the placement.
+func pieces(m *ownership.Machine) []placement.Piece {
+	out := make([]placement.Piece, 0, len(m.Holds()))
+	for _, h := range m.Holds() {
+		p := placement.Piece{First: h.First, Last: h.Last, Owner: h.Server, Fixed: !h.Divisible()}
+		if h.Phase != ownership.Held {
+			p.Owner = h.Target
+		}
+		out = append(out, p)
+	}
+	return out
+}
+
+// assignFree gives keys without an owner to servers.
+func (a *assigner) assignFree(now time.Time, m *ownership.Machine, snap *view.Snapshot, svc *routemap.Service) {
+	var servers []placement.Server
+	for _, h := range m.Holds() {
+		if h.Phase != ownership.Free {
+			continue
+		}
+		if servers == nil {
+			if servers = placementServers(snap, svc, now); len(servers) == 0 {
+				return
+			}
+		}
+		target := h.Target
+		if target == "" || snap.Usable(target) == nil {
+			a.loads.with(svc.Name, func(l *placement.Load) {
+				target, _ = placement.Target(l, servers, pieces(m), h.First, h.Last)
+			})
+		}
+		h.Target = target
+		m.Assign(h, ownerOf(snap, target))
+		a.node.log.Event("keys_assigned").Str("service", string(svc.Name)).Uint16("first", h.First).
+			Uint16("last", h.Last).Str("from", string(h.Server)).Str("to", string(target)).Send()
+	}
+}
+
+// store writes the pending table of a machine.
+func (a *assigner) store(m *ownership.Machine) {
+	t, version, ok := m.Pending()
+	if !ok {
+		return
+	}
+	ctx := a.context
+	go func() {
+		cctx, cancel := context.WithTimeout(ctx, tableCallTimeout)
+		defer cancel()
+		stored, err := a.put(cctx, t, version)
+		if err != nil && !errors.Is(err, store.ErrThrottled) {
+			stored, err = a.readBack(ctx, t, err)
+		}
+		a.results.Put(ctx, func() {
+			if err != nil {
+				a.node.log.Event("table_unwritten").Str("service", string(t.Service)).Err(err).Send()
+				m.StoreFailed()
+				return
+			}
+			m.Stored(stored)
+		})
+	}()
+}
+
+// readBack finds out whether a table whose write failed is stored.
+func (a *assigner) readBack(ctx context.Context, t *keyrange.Table, cause error) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, tableCallTimeout)
+	defer cancel()
+	o, err := a.node.platform.Objects().Get(ctx, a.node.platform.OwnKey("tables", string(t.Service)))
+	if err != nil {
+		return 0, cause
+	}
+	got, err := keyrange.Decode(o.Value)
+	if err != nil || got.Term != t.Term || got.NextFence != t.NextFence {
+		return 0, cause
+	}
+	return o.Version, nil
+}
+
+// send carries an order out. The lease is checked right before.
+func (a *assigner) send(m *ownership.Machine, snap *view.Snapshot, o ownership.Order) {
+	addr := a.address(snap, o.Owner)
+	a.onWay++
+	ctx := a.context
+	go func() {
+		outcome, handover := ownership.NotSent, ""
+		var err error
+		if addr != "" && a.leads() {
+			outcome, handover, err = a.node.platform.SendOrder(ctx, addr, o)
+		}
+		a.results.Put(ctx, func() {
+			if a.context != ctx {
+				return
+			}
+			a.onWay--
+			a.logOrder(o, outcome, err)
+			m.Result(clock.Boot(), o, outcome, handover)
+		})
+	}()
+}
+
+// address returns where a life of a server is reached, also after its entry
+// was removed.
+func (a *assigner) address(snap *view.Snapshot, o keyrange.Owner) string {
+	if s := snap.Servers[o.Server]; s != nil && s.Born == o.Born {
+		a.node.addresses.put(o, s.Addr)
+		return s.Addr
+	}
+	return a.node.addresses.get(o)
+}
+
+func (a *assigner) logOrder(o ownership.Order, outcome ownership.Outcome, err error) {
+	if outcome == ownership.Done && o.Kind == ownership.Grant {
+		return
+	}
+	a.node.log.Event("order").Uint8("kind", uint8(o.Kind)).Str("server", string(o.Owner.Server)).
+		Uint16("first", o.First).Uint16("last", o.Last).Int64("fence", o.Fence).
+		Uint8("outcome", uint8(outcome)).AnErr("error", err).Send()
+}
+
+// plan moves keys to better places.
+func (a *assigner) plan(now time.Time, snap *view.Snapshot) {
+	snap.Routes.Services(func(svc *routemap.Service) {
+		m := a.machines[svc.Name]
+		if m == nil || len(m.Holds()) == 0 {
+			return
+		}
+		servers := placementServers(snap, svc, now)
+		if len(servers) == 0 {
+			return
+		}
+		a.loads.with(svc.Name, func(l *placement.Load) {
+			l.Decay(now)
+			for _, mv := range placement.Plan(l, servers, pieces(m)) {
+				a.node.log.Event("keys_moving").Str("service", string(svc.Name)).Uint16("first", mv.First).
+					Uint16("last", mv.Last).Str("to", string(mv.Target)).Float64("load", l.Between(mv.First, mv.Last)).Send()
+				m.Vacate(mv.First, mv.Last, mv.Target)
+			}
+		})
+	})
+}
+
+// divideLeaving vacates the keys of servers that leave in parts, so that no
+// single server gets all of them.
+func (a *assigner) divideLeaving(m *ownership.Machine, snap *view.Snapshot, svc *routemap.Service, l *placement.Load) {
+	for _, h := range slices.Clone(m.Holds()) {
+		if h.Divisible() && condition(snap, svc, h.Owner) == ownership.Unusable {
+			for _, p := range placement.Divide(l, h.First, h.Last) {
+				m.Vacate(p.First, p.Last, "")
+			}
+		}
+	}
+}
+
+// publish tells all VMs of changed tables.
+func (a *assigner) publish() {
+	changes := uint64(0)
+	for _, m := range a.machines {
+		changes += m.Changes()
+	}
+	if changes == a.told {
+		return
+	}
+	a.told = changes
+	a.version++
+	tables := make(map[topo.ServiceName]*keyrange.Table)
+	for name, m := range a.machines {
+		tables[name] = m.Published()
+	}
+	if err := a.node.hub.Publish(view.TableVersion{Term: a.term, Version: a.version}, tables); err != nil {
+		a.node.log.Event("table_unpublished").Err(err).Send()
+	}
+}
+
+// loads are the loads of the keyed services. It implements fleet.Loads and is
+// safe for concurrent use.
+type loads struct {
+	mu   sync.Mutex
+	list map[topo.ServiceName]*placement.Load
+	view *view.View
+}
+
+var _ fleet.Loads = (*loads)(nil)
+
+func newLoads(v *view.View) *loads {
+	return &loads{list: make(map[topo.ServiceName]*placement.Load), view: v}
+}
+
+func (l *loads) reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	clear(l.list)
+}
+
+// with calls f with the load of a service.
+func (l *loads) with(name topo.ServiceName, f func(*placement.Load)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f(l.load(name))
+}
+
+func (l *loads) load(name topo.ServiceName) *placement.Load {
+	x := l.list[name]
+	if x == nil {
+		x = placement.NewLoad()
+		l.list[name] = x
+	}
+	return x
+}
+
+// Count implements fleet.Loads.
+func (l *loads) Count(service topo.ServiceName, bucket int, n float64) {
+	l.with(service, func(x *placement.Load) { x.Count(bucket, n) })
+}
+
+// Answered implements fleet.Loads.
+func (l *loads) Answered(id topo.ServerID, n int, mean time.Duration) {
+	if s := l.view.Snapshot().Servers[id]; s != nil {
+		l.with(s.Service, func(x *placement.Load) { x.Answered(id, n, mean) })
+	}
+}
+
+// addressBook remembers where lives of servers are reached.
+type addressBook struct {
+	mu   sync.Mutex
+	list map[keyrange.Owner]string
+}
+
+// maxAddresses bounds the book; the oldest lives are unknown then, and their
+// holds are waited out.
+const maxAddresses = 4096
+
+func (b *addressBook) put(o keyrange.Owner, addr string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.list == nil || len(b.list) >= maxAddresses {
+		b.list = make(map[keyrange.Owner]string)
+	}
+	b.list[o] = addr
+}
+
+func (b *addressBook) get(o keyrange.Owner) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.list[o]
+}
--- /dev/null
+++ b/node/lease.go
@@ -0,0 +1,159 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+
+	"godwitlock.example/godwitlock/clock"
+	"godwitlock.example/godwitlock/declog"
+	"godwitlock.example/godwitlock/leader"
+	"godwitlock.example/godwitlock/store"
+	"godwitlock.example/godwitlock/topo"
+)
+
+// leaseCallTimeout bounds a call for the lease. A renewal whose answer is lost
+// leaves time for two more before the lease ends.
+const leaseCallTimeout = 600 * time.Millisecond
+
+// leaseDuty drives the leader's lease. It is safe for concurrent use.
+type leaseDuty struct {
+	objects store.Objects
+	key     string
+	log     *declog.Log
+	// silent reports that the leader does not answer.
+	silent func() bool
+	wake   chan struct{}
+
+	mu    sync.Mutex
+	lease *leader.Lease
+	led   bool
+}
+
+func newLeaseDuty(objects store.Objects, key string, self leader.Identity, log *declog.Log, silent func() bool) *leaseDuty {
+	return &leaseDuty{
+		objects: objects, key: key, log: log, silent: silent, lease: leader.New(self), wake: make(chan struct{}, 1),
+	}
+}
+
+// Leads returns the term while this process leads.
+func (d *leaseDuty) Leads() (topo.Term, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.lease.Holds(clock.Boot())
+}
+
+// Leader returns the process that holds the lease as far as is known.
+func (d *leaseDuty) Leader() leader.Identity {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.lease.Current().Holder
+}
+
+// Resign gives the lease back and never takes it again.
+func (d *leaseDuty) Resign() {
+	d.mu.Lock()
+	d.lease.Resign(clock.Boot())
+	d.mu.Unlock()
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run drives the lease until ctx ends.
+func (d *leaseDuty) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		d.mu.Lock()
+		now := clock.Boot()
+		d.lease.SetEager(d.silent(), now)
+		step := d.lease.Next(now)
+		d.mu.Unlock()
+		switch step.Action {
+		case leader.Read:
+			d.read(ctx)
+		case leader.Write:
+			d.write(ctx, step)
+		default:
+			d.sleep(ctx, step.At.Sub(now))
+		}
+		d.tell()
+	}
+	return ctx.Err()
+}
+
+// maxSleep bounds the pause, so that a silent leader is noticed.
+const maxSleep = 250 * time.Millisecond
+
+func (d *leaseDuty) sleep(ctx context.Context, pause time.Duration) {
+	t := time.NewTimer(min(max(pause, time.Millisecond), maxSleep))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-d.wake:
+	case <-ctx.Done():
+	}
+}
+
+func (d *leaseDuty) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(store.AllowStale(ctx), leaseCallTimeout)
+	defer cancel()
+	o, err := d.objects.Get(ctx, d.key)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := clock.Boot()
+	switch {
+	case errors.Is(err, store.ErrNotFound):
+		d.lease.Observed(now, leader.Seen{})
+	case err != nil:
+		d.lease.Failed(now, false)
+	default:
+		var r leader.Record
+		if err := json.Unmarshal(o.Value, &r); err != nil {
+			d.log.Event("lease_unreadable").Err(err).Send()
+			d.lease.Failed(now, false)
+			return
+		}
+		d.lease.Observed(now, leader.Seen{Record: r, Version: o.Version})
+	}
+}
+
+func (d *leaseDuty) write(ctx context.Context, step leader.Step) {
+	ctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
+	defer cancel()
+	value, err := json.Marshal(step.Next)
+	if err != nil {
+		d.log.Event("lease_unwritable").Err(err).Send()
+		return
+	}
+	o, err := d.objects.Put(ctx, d.key, value, step.Version, uuid.NewString())
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := clock.Boot()
+	if err != nil {
+		d.log.Event("lease_write_failed").Uint64("term", uint64(step.Next.Term)).Err(err).Send()
+		d.lease.Failed(now, errors.Is(err, store.ErrConflict))
+		return
+	}
+	d.lease.Written(now, step.Next, o.Version)
+}
+
+// tell logs when this process begins or ceases to lead.
+func (d *leaseDuty) tell() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	term, leads := d.lease.Holds(clock.Boot())
+	if leads == d.led {
+		return
+	}
+	d.led = leads
+	name := "leadership_lost"
+	if leads {
+		name = "leadership_gained"
+	}
+	d.log.Event(name).Uint64("term", uint64(term)).Send()
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,310 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+	"github.com/thejerf/suture/v4"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"godwitlock.example/godwitlock/broker"
+	"godwitlock.example/godwitlock/clock"
+	"godwitlock.example/godwitlock/declog"
+	"godwitlock.example/godwitlock/egress"
+	"godwitlock.example/godwitlock/fleet"
+	"godwitlock.example/godwitlock/fleet/fleetpb"
+	"godwitlock.example/godwitlock/forward"
+	"godwitlock.example/godwitlock/ingress"
+	"godwitlock.example/godwitlock/leader"
+	"godwitlock.example/godwitlock/metric"
+	"godwitlock.example/godwitlock/peer"
+	"godwitlock.example/godwitlock/permit"
+	"godwitlock.example/godwitlock/routemap"
+	"godwitlock.example/godwitlock/view"
+)
+
+const (
+	// freshnessMargin is subtracted from the time in which a withdrawn key
+	// must stop: watches may hear nothing for a second, and a request takes a
+	// moment from the check to the server.
+	freshnessMargin = 1300 * time.Millisecond
+	// relaySilent is how long the leader may be silent, and relayOld how old
+	// its knowledge may be, before a VM reads the store itself.
+	relaySilent = 900 * time.Millisecond
+	relayOld    = 2600 * time.Millisecond
+	// followRetry is the pause after a failed call to the leader.
+	followRetry = 120 * time.Millisecond
+	// fallbackDivisor divides the slots of servers whose home VMs do not
+	// answer: several VMs may use them at the same time.
+	fallbackDivisor = 4
+	// retrySlackUsed is the part of the allowed retries that is divided among
+	// the VMs, and retryShareUsed the part of the allowed share.
+	retrySlackUsed, retryShareUsed = 0.6, 0.7
+	// sweepInterval is the time between two searches for idle connections.
+	sweepInterval = time.Second
+)
+
+// Node is one VM's process.
+type Node struct {
+	set      Settings
+	platform Platform
+	log      *declog.Log
+	metrics  *metric.Set
+	view     *view.View
+	lease    *leaseDuty
+	hub      *fleet.Hub
+	follower *fleet.Follower
+	reports  *reports
+	peers    *peer.Pool
+	egress   *egress.Client
+	broker   *broker.Broker
+	fallback *broker.Broker
+	ingress  *ingress.Server
+	grpc     *grpc.Server
+	loads    *loads
+
+	addresses addressBook
+	stopping  atomic.Bool
+	watching  []*watcher
+
+	callers, peerLis, readyLis, metricsLis net.Listener
+}
+
+// Listen claims the addresses of a node. It fails at once when one is in use.
+func Listen(set Settings, p Platform) (*Node, error) {
+	n := &Node{set: set, platform: p, view: view.New(), metrics: metric.New()}
+	n.log = declog.New(os.Stdout, string(set.VM))
+	for _, l := range []struct {
+		addr string
+		lis  *net.Listener
+	}{{set.CallerAddr, &n.callers}, {set.PeerAddr, &n.peerLis}, {set.ReadyAddr, &n.readyLis}, {set.MetricsAddr, &n.metricsLis}} {
+		var err error
+		if *l.lis, err = net.Listen("tcp", l.addr); err != nil {
+			return nil, errors.Annotatef(err, "listening on %s", l.addr)
+		}
+	}
+	n.assemble()
+	return n, nil
+}
+
+func (n *Node) assemble() {
+	self := view.Member{VM: n.set.VM, Addr: n.set.PeerAddr, DataCentre: n.set.DataCentre}
+	boot := uuid.NewString()
+	n.peers = peer.NewPool(insecure.NewCredentials(), nil)
+	n.follower = fleet.NewFollower(self, boot, n.view, n.peers, n.setConfig)
+	n.lease = newLeaseDuty(n.platform.Objects(), n.platform.OwnKey("leader", "lease"),
+		leader.Identity{VM: n.set.VM, Boot: boot, Addr: n.set.PeerAddr}, n.log, n.relayStale)
+	n.loads = newLoads(n.view)
+	n.hub = fleet.NewHub(n.view, self, n.lease.Leads, n.knownAt, n.loads)
+	n.watching = n.watchers()
+	n.reports = newReports(n.set.VM, n.metrics)
+	n.egress = egress.New(n.platform.ServerHeaders())
+	n.egress.Connected = func() { n.metrics.Count("server_connections", "", "") }
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	n.broker = broker.New(n.poolServers, 1, rng)
+	n.fallback = broker.New(n.poolServers, fallbackDivisor, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	fwd := forward.New(forward.Config{
+		View: n.view, Egress: n.egress, Rates: n.reports, Stats: n.reports, Log: n.log, Fresh: n.fresh,
+		Slots:   fleet.NewSlots(n.set.VM, n.set.DataCentre, n.peers, n.broker, n.fallback),
+		Budgets: forward.NewBudgets(n.set.Bounds.RetryShare*retryShareUsed, n.retrySlack),
+	})
+	n.ingress = ingress.NewServer(n.platform.CallerHeaders(), fwd.Serve, n.callerLimits)
+	n.grpc = grpc.NewServer()
+	fleetpb.RegisterFleetServer(n.grpc, fleet.NewServer(n.hub, n.broker))
+	n.gauges()
+}
+
+func (n *Node) gauges() {
+	n.metrics.Gauge("config_age_seconds", func() float64 { return clock.Boot().Sub(n.view.Confirmed()).Seconds() })
+	n.metrics.Gauge("caller_connections", func() float64 { return float64(n.ingress.Open()) })
+	n.metrics.Gauge("home_waiting", func() float64 { w, _ := n.broker.Depth(); return float64(w) })
+	n.metrics.Gauge("home_running", func() float64 { _, r := n.broker.Depth(); return float64(r) })
+}
+
+// retrySlack is this VM's part of the retries that are allowed in any case.
+func (n *Node) retrySlack() float64 {
+	return max(1, n.set.Bounds.RetrySlack*retrySlackUsed/float64(max(1, len(n.view.Snapshot().Members))))
+}
+
+// callerLimits returns the limits of the configuration in force.
+func (n *Node) callerLimits() ingress.Limits {
+	m := n.view.Snapshot().Routes
+	if m == nil {
+		return ingress.Limits{}
+	}
+	return ingress.Limits{
+		HeaderBytes: m.Limits.HeaderBytes, BodyBytes: m.Limits.BodyBytes,
+		HeaderTimeout: m.Limits.HeaderTimeout, IdleTimeout: m.Limits.IdleTimeout,
+	}
+}
+
+// setConfig decodes a configuration and puts it in force unless a newer one is.
+func (n *Node) setConfig(raw []byte, rev int64) error {
+	if _, have := n.view.Config(); rev <= have {
+		return nil
+	}
+	cfg, err := n.platform.DecodeConfig(raw)
+	if err != nil {
+		return err
+	}
+	m, err := routemap.Compile(cfg)
+	if err != nil {
+		return err
+	}
+	if n.view.SetConfig(m, raw, rev) {
+		n.log.Event("config_in_force").Int64("version", m.Version).Int64("rev", rev).Send()
+	}
+	return nil
+}
+
+// fresh reports whether the configuration is new enough to accept caller keys.
+func (n *Node) fresh() bool {
+	age := clock.Boot().Sub(n.view.Confirmed())
+	return age < n.set.Bounds.WithdrawWithin-freshnessMargin
+}
+
+// relayStale reports whether the leader is not heard, or does not know the
+// store itself.
+func (n *Node) relayStale() bool {
+	if _, leads := n.lease.Leads(); leads {
+		return false
+	}
+	heard, known := n.follower.Heard()
+	now := clock.Boot()
+	return now.Sub(heard) > relaySilent || now.Sub(known) > relayOld
+}
+
+// needsStore reports whether this VM reads the store itself.
+func (n *Node) needsStore() bool {
+	_, leads := n.lease.Leads()
+	return leads || n.relayStale()
+}
+
+// knownAt returns the time up to which this VM knows the store by itself.
+func (n *Node) knownAt() time.Time {
+	oldest := clock.Boot()
+	for _, w := range n.watching {
+		if at := w.KnownAt(); at.Before(oldest) {
+			oldest = at
+		}
+	}
+	return oldest
+}
+
+// poolServers returns the servers of a pool of slots.
+func (n *Node) poolServers(pool string) []permit.Server { return poolServers(n.view.Snapshot(), pool) }
+
+// runFollow follows the leader until ctx ends.
+func (n *Node) runFollow(ctx context.Context) error {
+	for ctx.Err() == nil {
+		l := n.lease.Leader()
+		if _, leads := n.lease.Leads(); leads || l.Addr == "" || l.VM == n.set.VM {
+			pause(ctx, followRetry)
+			continue
+		}
+		if err := n.follower.Follow(ctx, l.Addr, n.stopping.Load()); err != nil {
+			n.log.Event("leader_unheard").Str("leader", string(l.VM)).Err(err).Send()
+			pause(ctx, followRetry)
+		}
+	}
+	return ctx.Err()
+}
+
+// duty adapts a function to suture.Service.
+type duty struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+// Serve implements suture.Service.
+func (d duty) Serve(ctx context.Context) error { return d.run(ctx) }
+
+// String implements fmt.Stringer.
+func (d duty) String() string { return d.name }
+
+// Run serves until ctx ends, and then stops gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	sup := suture.New(string(n.set.VM), suture.Spec{
+		EventHook: func(e suture.Event) { n.log.Event("supervisor").Str("what", e.String()).Send() },
+	})
+	for _, d := range n.duties() {
+		sup.Add(d)
+	}
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	done := sup.ServeBackground(work)
+	n.log.Event("started").Str("data_centre", string(n.set.DataCentre)).Str("peers", n.set.PeerAddr).Send()
+	<-ctx.Done()
+	n.stop(work)
+	n.log.Event("stopped").Send()
+	cancel()
+	<-done
+	n.log.Flush()
+	return nil
+}
+
+func (n *Node) duties() []duty {
+	list := []duty{
+		{"log", n.log.Run},
+		{"lease", n.lease.Run},
+		{"follow", n.runFollow},
+		{"reports", n.runReports},
+		{"assigner", newAssigner(n, n.loads).Run},
+		{"home", n.broker.Run},
+		{"fallback", n.fallback.Run},
+		{"sweep", n.runSweep},
+		{"peers", func(context.Context) error { return n.serveUntilClosed(n.grpc.Serve(n.peerLis)) }},
+		{"callers", func(context.Context) error { return n.serveUntilClosed(n.ingress.Serve(n.callers)) }},
+		{"ready", func(context.Context) error { return n.serveUntilClosed(http.Serve(n.readyLis, n.readyMux())) }},
+		{"metrics", func(context.Context) error { return n.serveUntilClosed(http.Serve(n.metricsLis, n.metricsMux())) }},
+	}
+	for _, w := range n.watching {
+		list = append(list, duty{"watch " + w.name, w.Run})
+	}
+	return list
+}
+
+// serveUntilClosed keeps a server that ended in a stop from being restarted.
+func (n *Node) serveUntilClosed(err error) error {
+	if n.stopping.Load() {
+		return suture.ErrDoNotRestart
+	}
+	return err
+}
+
+func (n *Node) runSweep(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause(ctx, sweepInterval)
+		n.egress.Sweep()
+	}
+	return ctx.Err()
+}
+
+// ready reports whether this VM should get new callers.
+func (n *Node) ready() bool {
+	return !n.stopping.Load() && n.view.Snapshot().Routes != nil && n.fresh()
+}
+
+func (n *Node) readyMux() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !n.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+func (n *Node) metricsMux() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", n.metrics)
+	return mux
+}
--- /dev/null
+++ b/node/stop.go
@@ -0,0 +1,45 @@
+package node
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// balancerTime is how long the platform may send new callers after this
+	// VM said that it is not ready: two checks, a second apart, and their
+	// way.
+	balancerTime = 2600 * time.Millisecond
+	// stopReserve is kept of the time until SIGKILL.
+	stopReserve = 500 * time.Millisecond
+	// stopCheck is how often a stopping VM looks whether it may end.
+	stopCheck = 50 * time.Millisecond
+)
+
+// stop ends the work without cutting a request: no new callers, the lease
+// given back, each answer the last of its connection, then idle connections
+// closed.
+func (n *Node) stop(ctx context.Context) {
+	begin := time.Now()
+	n.stopping.Store(true)
+	n.log.Event("stopping").Int("connections", n.ingress.Open()).Send()
+	n.lease.Resign()
+	n.ingress.Drain()
+	pause(ctx, min(balancerTime, n.set.Bounds.StopWithin/2))
+	_ = n.callers.Close()
+	n.ingress.CloseIdle()
+	wait, cancel := context.WithDeadline(ctx, begin.Add(n.set.Bounds.StopWithin-stopReserve))
+	defer cancel()
+	for n.ingress.Open() > 0 && wait.Err() == nil {
+		pause(wait, stopCheck)
+		n.ingress.CloseIdle()
+	}
+	if open := n.ingress.Open(); open > 0 {
+		n.log.Event("connections_cut").Int("connections", open).Send()
+	}
+	for _, lis := range []interface{ Close() error }{n.readyLis, n.metricsLis} {
+		_ = lis.Close()
+	}
+	n.grpc.Stop()
+	n.peers.Close()
+}
--- /dev/null
+++ b/node/watch.go
@@ -0,0 +1,252 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"godwitlock.example/godwitlock/clock"
+	"godwitlock.example/godwitlock/declog"
+	"godwitlock.example/godwitlock/directory"
+	"godwitlock.example/godwitlock/store"
+	"godwitlock.example/godwitlock/topo"
+)
+
+const (
+	// watchWait is how long a watch waits for changes. A watch that went
+	// silent is noticed a little later, within the bounds of the deployment.
+	watchWait = 1500 * time.Millisecond
+	// watchPause is the least time between two watches: changes of a moment
+	// come in one answer.
+	watchPause = 80 * time.Millisecond
+	// watchRetry is the pause after a second failure in a row.
+	watchRetry = 300 * time.Millisecond
+	// listTimeout bounds a listing.
+	listTimeout = 1500 * time.Millisecond
+	// idleCheck is how often a watcher that is not needed looks whether it is.
+	idleCheck = 200 * time.Millisecond
+	// outageMin is the length of failing calls that counts as an outage.
+	outageMin = 400 * time.Millisecond
+)
+
+// watcher keeps the view up to date from one kind of objects while it is
+// needed: at the leader, and where the leader is not heard.
+type watcher struct {
+	name    string
+	prefix  string
+	objects store.Objects
+	needed  func() bool
+	log     *declog.Log
+	// replace takes a whole listing, change one event. They run one at a time.
+	replace func(store.Listing, time.Time)
+	change  func(store.Event, time.Time)
+	// advance is told the revision up to which changes are known, and a time
+	// at which that was so.
+	advance func(rev topo.Revision, at time.Time)
+	// returned is told that the store answers again after an outage.
+	returned func(time.Time)
+
+	mu    sync.Mutex
+	known time.Time
+}
+
+// KnownAt returns the time up to which the objects are known.
+func (w *watcher) KnownAt() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.known
+}
+
+// Run watches until ctx ends.
+func (w *watcher) Run(ctx context.Context) error {
+	var rev topo.Revision
+	listed := false
+	var failedSince time.Time
+	failures := 0
+	for ctx.Err() == nil {
+		if !w.needed() {
+			listed = false
+			pause(ctx, idleCheck)
+			continue
+		}
+		sent := clock.Boot()
+		var err error
+		if listed {
+			rev, err = w.watch(ctx, rev)
+		} else {
+			rev, err = w.list(ctx)
+			listed = err == nil
+		}
+		if err == nil {
+			w.succeeded(sent, rev, failedSince)
+			failedSince, failures = time.Time{}, 0
+			pause(ctx, watchPause)
+			continue
+		}
+		if failures++; failures == 1 {
+			failedSince = sent
+			w.log.Event("store_lost").Str("watch", w.name).Err(err).Send()
+		}
+		if errors.Is(err, store.ErrCompacted) {
+			listed = false
+		}
+		if failures > 1 {
+			pause(ctx, watchRetry)
+		}
+	}
+	return ctx.Err()
+}
+
+func (w *watcher) succeeded(sent time.Time, rev topo.Revision, failedSince time.Time) {
+	now := clock.Boot()
+	if !failedSince.IsZero() {
+		w.log.Event("store_regained").Str("watch", w.name).Dur("after_ms", now.Sub(failedSince)).Send()
+		if now.Sub(failedSince) >= outageMin && w.returned != nil {
+			w.returned(now)
+		}
+	}
+	w.advance(rev, sent)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.known = sent
+}
+
+func (w *watcher) list(ctx context.Context) (topo.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	l, err := w.objects.List(ctx, w.prefix)
+	if err != nil {
+		return 0, err
+	}
+	w.replace(l, clock.Boot())
+	return l.Revision, nil
+}
+
+func (w *watcher) watch(ctx context.Context, rev topo.Revision) (topo.Revision, error) {
+	c, err := w.objects.Watch(ctx, w.prefix, rev, watchWait)
+	if err != nil {
+		return rev, err
+	}
+	now := clock.Boot()
+	for _, e := range c.Events {
+		w.change(e, now)
+	}
+	return max(rev, c.Revision), nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// watchers returns the three watchers of a node.
+func (n *Node) watchers() []*watcher {
+	objects, prefixes := n.platform.Objects(), n.platform.Prefixes()
+	config := &watcher{
+		name: "config", prefix: prefixes.Config,
+		replace: func(l store.Listing, _ time.Time) {
+			for _, o := range l.Objects {
+				n.takeConfig(o)
+			}
+		},
+		change: func(e store.Event, _ time.Time) {
+			if !e.Deleted {
+				n.takeConfig(e.Object)
+			}
+		},
+		advance: func(_ topo.Revision, at time.Time) { n.view.Confirm(at) },
+	}
+	servers := &watcher{
+		name: "servers", prefix: prefixes.Servers, replace: n.replaceServers, change: n.changeServer,
+		advance: func(rev topo.Revision, _ time.Time) {
+			n.view.Directory(func(d *directory.Directory) { d.Advance(int64(rev)) })
+		},
+		returned: func(now time.Time) {
+			n.view.Directory(func(d *directory.Directory) { d.StoreReturned(now) })
+		},
+	}
+	evacuations := n.evacuationWatcher(prefixes.Evacuations)
+	list := []*watcher{config, servers, evacuations}
+	for _, w := range list {
+		w.objects, w.needed, w.log = objects, n.needsStore, n.log
+	}
+	return list
+}
+
+func (n *Node) evacuationWatcher(prefix string) *watcher {
+	out := make(map[topo.DataCentreName]bool)
+	return &watcher{
+		name: "evacuations", prefix: prefix,
+		replace: func(l store.Listing, _ time.Time) {
+			clear(out)
+			for _, o := range l.Objects {
+				out[topo.DataCentreName(n.platform.Name(o.Key))] = true
+			}
+		},
+		change: func(e store.Event, _ time.Time) {
+			name := topo.DataCentreName(n.platform.Name(e.Key))
+			n.log.Event("data_centre").Str("data_centre", string(name)).Bool("in_service", e.Deleted).
+				Uint64("rev", uint64(e.Revision)).Send()
+			if e.Deleted {
+				delete(out, name)
+			} else {
+				out[name] = true
+			}
+		},
+		advance: func(rev topo.Revision, _ time.Time) {
+			names := make([]topo.DataCentreName, 0, len(out))
+			for name := range out {
+				names = append(names, name)
+			}
+			n.view.Directory(func(d *directory.Directory) { d.SetEvacuated(names, int64(rev)) })
+		},
+	}
+}
+
+// takeConfig puts a configuration object in force.
+func (n *Node) takeConfig(o store.Object) {
+	if o.Key != n.platform.ConfigKey() {
+		return
+	}
+	if err := n.setConfig(o.Value, int64(o.Revision)); err != nil {
+		n.log.Event("config_refused").Uint64("rev", uint64(o.Revision)).Err(err).Send()
+	}
+}
+
+func (n *Node) replaceServers(l store.Listing, now time.Time) {
+	list := make([]directory.Server, 0, len(l.Objects))
+	for _, o := range l.Objects {
+		s, err := n.platform.DecodeServer(o, now)
+		if err != nil {
+			n.log.Event("entry_ignored").Err(err).Send()
+			continue
+		}
+		list = append(list, s)
+	}
+	n.view.Directory(func(d *directory.Directory) { d.Replace(list, int64(l.Revision), now) })
+}
+
+func (n *Node) changeServer(e store.Event, now time.Time) {
+	id := topo.ServerID(n.platform.Name(e.Key))
+	if e.Deleted {
+		n.log.Event("server_gone").Str("server", string(id)).Uint64("rev", uint64(e.Revision)).Send()
+		n.view.Directory(func(d *directory.Directory) { d.Remove(id, int64(e.Revision), now) })
+		return
+	}
+	s, err := n.platform.DecodeServer(e.Object, now)
+	if err != nil {
+		// The last readable entry may be wrong by now.
+		n.log.Event("entry_ignored").Err(err).Send()
+		n.view.Directory(func(d *directory.Directory) { d.Remove(id, int64(e.Revision), now) })
+		return
+	}
+	n.log.Event("server").Str("server", string(id)).Str("service", string(s.Service)).Uint8("state", uint8(s.State)).
+		Int64("born", s.Born).Dur("cold_ms", s.ColdFor).Int64("rev", s.Rev).Send()
+	n.view.Directory(func(d *directory.Directory) { d.Put(s) })
+}
--- /dev/null
+++ b/ownership/machine.go
@@ -0,0 +1,446 @@
+// Package ownership decides which orders backend servers get so that each key
+// has at most one owner at any moment. It runs at the leader.
+//
+// What makes it safe:
+//
+//   - A server is granted keys only after the store has the table that names it
+//     as their owner, under a fence above all earlier ones. So whoever leads next
+//     knows everyone who may hold a key.
+//   - A hold counts from the arrival of the order at the server, on a clock that
+//     may run slow. Its end is bounded from when the order was answered, or from
+//     when its connection was given up.
+//   - Keys go to another owner when the last one has answered their release and
+//     no unanswered order is left that could still be carried out, or when every
+//     hold that it can have has ended, or when its process is known to be dead.
+//   - A new leader knows none of its predecessor's orders, which were all sent
+//     before its lease began; it bounds their holds from that moment.
+//
+// Machine is pure: time and results come in, orders go out. It is not safe for
+// concurrent use.
+package ownership
+
+import (
+	"time"
+
+	"godwitlock.example/godwitlock/keyrange"
+	"godwitlock.example/godwitlock/topo"
+)
+
+const (
+	// MaxDrift bounds how slow a server's clock runs. The platform's pages
+	// state 2%.
+	MaxDrift = 0.02
+	// HoldTime is the hold that a grant asks for. It outlasts the loss of a
+	// leader (its lease, the next poll and a round of renewals), and bounds
+	// how long the keys of a silent server have no owner.
+	HoldTime = 5 * time.Second
+	// RenewInterval leaves three tries before a hold ends.
+	RenewInterval = 1200 * time.Millisecond
+	// retryInterval is the pause after an order without an answer.
+	retryInterval = 200 * time.Millisecond
+	// releaseRetry is the pause between two releases without an answer.
+	releaseRetry = 700 * time.Millisecond
+	// transit bounds how long an order may be on its way after its connection
+	// was given up.
+	transit = 300 * time.Millisecond
+	// lostAfter is the number of renewals without an answer after which a
+	// server counts as lost and its holds are left to end.
+	lostAfter = 3
+	// deadAfter is the number of refused connections, over at least
+	// deadSpan, that prove that no process serves the address.
+	deadAfter = 3
+	deadSpan  = 300 * time.Millisecond
+)
+
+// Condition is what the directory knows of an owner.
+type Condition uint8
+
+// The conditions.
+const (
+	// Usable owners take requests.
+	Usable Condition = iota + 1
+	// Unusable owners are leaving, gone from the directory or in a data
+	// centre out of service, but may still run.
+	Unusable
+	// Dead owners have been replaced by another life of the server.
+	Dead
+)
+
+// Phase is the state of a hold.
+type Phase uint8
+
+// The phases.
+const (
+	// Held keys belong to their owner, and are renewed.
+	Held Phase = iota + 1
+	// Vacating keys are being released, or left to end.
+	Vacating
+	// Free keys have no owner that could run requests.
+	Free
+	// Storing keys wait for the store to have their next owner.
+	Storing
+)
+
+// Hold is a range of keys at an owner.
+type Hold struct {
+	keyrange.Range
+	Phase Phase
+	// Target is the server that is to get the keys next; empty leaves the
+	// choice to the placement.
+	Target topo.ServerID
+	// Granted says that the owner has answered a grant of this leader.
+	Granted bool
+
+	// bound ends every hold that the owner can have by orders sent so far;
+	// unanswered does so for the orders that may still be carried out.
+	bound, unanswered time.Time
+	next              time.Time
+	inFlight          bool
+	failures          int
+	handover          string
+	// nextOwner is set while Storing.
+	nextOwner keyrange.Owner
+	id        uint64
+}
+
+// OrderKind is the kind of an Order.
+type OrderKind uint8
+
+// The kinds of orders.
+const (
+	Grant OrderKind = iota + 1
+	Release
+)
+
+// Order goes to a backend server.
+type Order struct {
+	Kind        OrderKind
+	Owner       keyrange.Owner
+	First, Last keyrange.Key
+	Fence       int64
+	// HoldTime and Handover are for grants.
+	HoldTime time.Duration
+	Handover string
+	hold     uint64
+}
+
+// Outcome is what became of an order.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Done: the server carried the order out.
+	Done Outcome = iota + 1
+	// Rejected: the server has seen a higher fence.
+	Rejected
+	// NotSent: no byte of the order was sent.
+	NotSent
+	// Refused: the server's address refused the connection.
+	Refused
+	// Unanswered: the order may be carried out, also later.
+	Unanswered
+)
+
+// refusals counts refused connections to an owner.
+type refusals struct {
+	count int
+	since time.Time
+}
+
+// Machine is the state of one service. The zero value is not usable; call New.
+type Machine struct {
+	table    *keyrange.Table
+	version  uint64
+	holds    []*Hold
+	refused  map[keyrange.Owner]refusals
+	nextID   uint64
+	storing  *keyrange.Table
+	holdTime time.Duration
+	// changes counts what is worth telling other VMs.
+	changes uint64
+}
+
+// New returns the machine of a leader whose lease began at start, from the
+// table that the store holds under version.
+func New(start time.Time, table *keyrange.Table, version uint64, maxHold time.Duration) *Machine {
+	m := &Machine{
+		table: table, version: version, refused: make(map[keyrange.Owner]refusals),
+		holdTime: min(HoldTime, maxHold), changes: 1,
+	}
+	end := start.Add(m.longest() + transit)
+	for _, r := range table.Ranges {
+		m.add(&Hold{Range: r, Phase: Held, bound: end, unanswered: end})
+	}
+	return m
+}
+
+// longest is the longest real time that a hold lasts after it arrived.
+func (m *Machine) longest() time.Duration {
+	return time.Duration(float64(m.holdTime) * (1 + MaxDrift))
+}
+
+func (m *Machine) add(h *Hold) {
+	m.nextID++
+	h.id = m.nextID
+	m.holds = append(m.holds, h)
+}
+
+// Holds returns the holds in the order of their keys. They must not be changed.
+func (m *Machine) Holds() []*Hold { return m.holds }
+
+// Changes rises when the published table has changed.
+func (m *Machine) Changes() uint64 { return m.changes }
+
+// Published returns the table for routing. Keys that are between two owners
+// are marked.
+func (m *Machine) Published() *keyrange.Table {
+	out := &keyrange.Table{Service: m.table.Service, NextFence: m.table.NextFence}
+	for _, h := range m.holds {
+		r := h.Range
+		r.Moving = h.Phase != Held || !h.Granted
+		if n := len(out.Ranges); n > 0 && sameOwner(out.Ranges[n-1], r) {
+			out.Ranges[n-1].Last = r.Last
+			continue
+		}
+		out.Ranges = append(out.Ranges, r)
+	}
+	return out
+}
+
+func sameOwner(a, b keyrange.Range) bool {
+	return a.Owner == b.Owner && a.Fence == b.Fence && a.Moving == b.Moving
+}
+
+// Vacate takes the keys from first to last away from their owners. Target may
+// be empty.
+func (m *Machine) Vacate(first, last keyrange.Key, target topo.ServerID) {
+	m.split(first)
+	if last < keyrange.MaxKey {
+		m.split(last + 1)
+	}
+	for _, h := range m.holds {
+		if h.Phase == Held && h.First >= first && h.Last <= last {
+			m.vacate(h, target)
+		}
+	}
+}
+
+func (m *Machine) vacate(h *Hold, target topo.ServerID) {
+	h.Phase, h.Target, h.next, h.failures = Vacating, target, time.Time{}, 0
+	m.changes++
+}
+
+// split divides the hold that contains key into one that ends before it and
+// one that begins with it.
+func (m *Machine) split(key keyrange.Key) {
+	for i, h := range m.holds {
+		if !h.Contains(key) || h.First == key || h.Phase != Held || h.inFlight {
+			continue
+		}
+		right := *h
+		right.First = key
+		m.nextID++
+		right.id = m.nextID
+		h.Last = key - 1
+		m.holds = append(m.holds[:i+1], append([]*Hold{&right}, m.holds[i+1:]...)...)
+		return
+	}
+}
+
+// Divisible reports whether the hold can be divided or vacated now: no order
+// is under way.
+func (h *Hold) Divisible() bool { return h.Phase == Held && !h.inFlight }
+
+// Assign gives the keys of a free hold to an owner. The caller then stores the
+// table returned by Pending.
+func (m *Machine) Assign(h *Hold, owner keyrange.Owner) {
+	if h.Phase != Free || m.storing != nil {
+		return
+	}
+	h.Phase, h.nextOwner = Storing, owner
+}
+
+// Fill gives all keys to owners when there are none yet: range i to owners[i].
+func (m *Machine) Fill(ranges []keyrange.Range) {
+	if len(m.holds) > 0 || m.storing != nil {
+		return
+	}
+	for _, r := range ranges {
+		m.add(&Hold{Range: r, Phase: Storing, nextOwner: r.Owner})
+	}
+}
+
+// Pending returns the table to store next, with the version that it replaces;
+// false when there is nothing to store or a write is in progress. The caller
+// reports the result with Stored or StoreFailed.
+func (m *Machine) Pending() (table *keyrange.Table, version uint64, ok bool) {
+	if m.storing != nil {
+		return nil, 0, false
+	}
+	next := m.table
+	for _, h := range m.holds {
+		if h.Phase == Storing {
+			next = next.Assign(h.First, h.Last, h.nextOwner)
+		}
+	}
+	if next == m.table {
+		return nil, 0, false
+	}
+	m.storing = next
+	return next, m.version, true
+}
+
+// Stored records that the store has the pending table.
+func (m *Machine) Stored(version uint64) {
+	m.table, m.version, m.storing = m.storing, version, nil
+	for _, h := range m.holds {
+		if h.Phase != Storing {
+			continue
+		}
+		r, _ := m.table.Find(h.First)
+		r.First, r.Last = h.First, h.Last
+		m.nextID++
+		*h = Hold{Range: r, Phase: Held, handover: h.handover, id: m.nextID}
+	}
+	m.changes++
+}
+
+// StoreFailed records that the write of the pending table was refused or has
+// no answer. Pending will return it again under the same version.
+func (m *Machine) StoreFailed() { m.storing = nil }
+
+// Tick returns the orders to send at now. Condition tells what is known of an
+// owner. Every order is followed by one call of Result.
+func (m *Machine) Tick(now time.Time, condition func(keyrange.Owner) Condition) []Order {
+	var out []Order
+	for _, h := range m.holds {
+		if o, ok := m.step(now, h, condition(h.Owner)); ok {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+func (m *Machine) step(now time.Time, h *Hold, cond Condition) (Order, bool) {
+	if h.Phase != Held && h.Phase != Vacating {
+		return Order{}, false
+	}
+	if cond == Dead || m.dead(h.Owner, now) {
+		m.free(h, "")
+		return Order{}, false
+	}
+	if h.inFlight || now.Before(h.next) {
+		return Order{}, false
+	}
+	if h.Phase == Held && (cond != Usable || h.failures >= lostAfter) {
+		m.vacate(h, "")
+	}
+	if h.Phase == Held {
+		return m.grant(h), true
+	}
+	if now.After(h.bound) {
+		m.free(h, h.handover)
+		return Order{}, false
+	}
+	return m.release(h), true
+}
+
+func (m *Machine) grant(h *Hold) Order {
+	h.inFlight = true
+	return Order{
+		Kind: Grant, Owner: h.Owner, First: h.First, Last: h.Last, Fence: h.Fence,
+		HoldTime: m.holdTime, Handover: h.handover, hold: h.id,
+	}
+}
+
+func (m *Machine) release(h *Hold) Order {
+	h.inFlight = true
+	return Order{Kind: Release, Owner: h.Owner, First: h.First, Last: h.Last, Fence: h.Fence, hold: h.id}
+}
+
+func (m *Machine) free(h *Hold, handover string) {
+	h.Phase, h.handover, h.inFlight = Free, handover, false
+	m.changes++
+}
+
+// dead reports whether the owner's process is known to have ended.
+func (m *Machine) dead(o keyrange.Owner, now time.Time) bool {
+	r, ok := m.refused[o]
+	return ok && r.count >= deadAfter && now.Sub(r.since) >= deadSpan
+}
+
+// Result records what became of an order at now. Handover comes with the
+// answer of a release.
+func (m *Machine) Result(now time.Time, o Order, outcome Outcome, handover string) {
+	m.countRefusal(now, o.Owner, outcome)
+	for _, h := range m.holds {
+		if h.id != o.hold {
+			continue
+		}
+		h.inFlight = false
+		if o.Kind == Grant {
+			m.grantResult(now, h, outcome)
+		} else {
+			m.releaseResult(now, h, outcome, handover)
+		}
+		return
+	}
+}
+
+func (m *Machine) countRefusal(now time.Time, owner keyrange.Owner, outcome Outcome) {
+	switch outcome {
+	case Refused:
+		r := m.refused[owner]
+		if r.count == 0 {
+			r.since = now
+		}
+		r.count++
+		m.refused[owner] = r
+	case Done, Rejected:
+		delete(m.refused, owner)
+	}
+}
+
+func (m *Machine) grantResult(now time.Time, h *Hold, outcome Outcome) {
+	switch outcome {
+	case Done:
+		h.bound = now.Add(m.longest())
+		h.next, h.failures, h.handover = now.Add(RenewInterval), 0, ""
+		if !h.Granted {
+			h.Granted = true
+			m.changes++
+		}
+	case Rejected:
+		// Only an order of a later leader carries a higher fence. Should there
+		// be none, the keys get a new fence at the same server.
+		if h.Phase == Held {
+			m.vacate(h, h.Server)
+		}
+	case NotSent, Refused:
+		h.failures++
+		h.next = now.Add(retryInterval)
+	case Unanswered:
+		h.failures++
+		h.next = now.Add(retryInterval)
+		h.bound = now.Add(m.longest() + transit)
+		h.unanswered = h.bound
+	}
+}
+
+func (m *Machine) releaseResult(now time.Time, h *Hold, outcome Outcome, handover string) {
+	if outcome == Done {
+		h.handover = handover
+		if now.After(h.unanswered) {
+			m.free(h, handover)
+			return
+		}
+		// An earlier order may still be carried out.
+		h.next = h.unanswered
+		h.bound = h.unanswered
+		return
+	}
+	h.next = now.Add(releaseRetry)
+	if h.bound.Before(h.next) {
+		h.next = h.bound
+	}
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -50,10 +50,20 @@
 // Client returns a client of the VM at addr (host:port). It does not connect
 // yet; it fails only on a malformed address.
 func (p *Pool) Client(addr string) (peerpb.PeerClient, error) {
+	conn, err := p.Conn(addr)
+	if err != nil {
+		return nil, err
+	}
+	return peerpb.NewPeerClient(conn), nil
+}
+
+// Conn returns the connection to the VM at addr (host:port). It does not
+// connect yet; it fails only on a malformed address.
+func (p *Pool) Conn(addr string) (*grpc.ClientConn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if conn, ok := p.conns[addr]; ok {
-		return peerpb.NewPeerClient(conn), nil
+		return conn, nil
 	}
 	opts := []grpc.DialOption{
 		grpc.WithTransportCredentials(p.creds),
@@ -75,7 +85,7 @@
 		return nil, errors.Annotatef(err, "client of VM at %s", addr)
 	}
 	p.conns[addr] = conn
-	return peerpb.NewPeerClient(conn), nil
+	return conn, nil
 }
 
 // Forget closes the connection to a VM that is gone.
--- /dev/null
+++ b/permit/server.go
@@ -0,0 +1,163 @@
+package permit
+
+import (
+	"time"
+
+	"godwitlock.example/godwitlock/topo"
+)
+
+const (
+	// firstWork is the time of work that is assumed before the first answer.
+	firstWork = 150 * time.Millisecond
+	// workMemory is the weight of a new answer in the mean time of work.
+	workMemory = 0.1
+	// stallFactor times the mean time of work without any answer, while all
+	// slots are taken, makes a server count as stalled; stallMin is the least.
+	stallFactor = 6
+	stallMin    = time.Second
+	// suspectAfter failures in a row make a server suspect.
+	suspectAfter = 2
+	// probeInterval is the time between two requests to a suspect server.
+	probeInterval = 400 * time.Millisecond
+	// shedStep and regainStep move the limit of a server that refuses work
+	// although it should have room: additive increase per answer, decrease
+	// per refusal.
+	shedStep, regainStep = 1.0, 0.15
+	// coldBurst is the number of requests that a cold server gets at once.
+	coldBurst = 1
+)
+
+// Server is a backend server as its directory entry describes it.
+type Server struct {
+	ID         topo.ServerID
+	DataCentre topo.DataCentreName
+	Slots      int
+	// ColdRate is the requests per second that the server bears while it is
+	// cold, until ColdUntil. 0 means no bound.
+	ColdRate  float64
+	ColdUntil time.Time
+}
+
+// grant is a slot in use.
+type grant struct {
+	since time.Time
+	// until frees the slot though nobody gave it back.
+	until time.Time
+}
+
+// server is the state of one server.
+type server struct {
+	Server
+	running  map[uint64]grant
+	limit    float64
+	work     time.Duration
+	answered time.Time
+	failures int
+	probed   time.Time
+	// cold is the token bucket of a cold server.
+	cold     float64
+	coldLast time.Time
+}
+
+func newServer(s Server, now time.Time) *server {
+	return &server{
+		Server: s, running: make(map[uint64]grant), limit: float64(s.Slots),
+		work: firstWork, answered: now, cold: coldBurst, coldLast: now,
+	}
+}
+
+// update takes over a newer entry.
+func (s *server) update(e Server) {
+	if e.Slots != s.Slots {
+		s.limit = float64(e.Slots)
+	}
+	s.Server = e
+}
+
+// isCold reports whether the server's cold bound applies.
+func (s *server) isCold(now time.Time) bool { return s.ColdRate > 0 && now.Before(s.ColdUntil) }
+
+// slots returns the number of requests that may run.
+func (s *server) slots() int { return max(1, int(s.limit+0.5)) }
+
+// room reports whether a request may start at now.
+func (s *server) room(now time.Time) bool {
+	if len(s.running) >= s.slots() {
+		return false
+	}
+	if s.failures >= suspectAfter && now.Sub(s.probed) < probeInterval {
+		return false
+	}
+	return !s.isCold(now) || s.coldTokens(now) >= 1
+}
+
+func (s *server) coldTokens(now time.Time) float64 {
+	return min(coldBurst, s.cold+s.ColdRate*max(0, now.Sub(s.coldLast).Seconds()))
+}
+
+// start takes a slot.
+func (s *server) start(now time.Time, id uint64, lease time.Duration) {
+	if s.isCold(now) {
+		s.cold, s.coldLast = s.coldTokens(now)-1, now
+	}
+	if len(s.running) == 0 {
+		s.answered = now
+	}
+	s.probed = now
+	s.running[id] = grant{since: now, until: now.Add(lease)}
+}
+
+// stalled reports whether the server takes work and answers none.
+func (s *server) stalled(now time.Time) bool {
+	if s.failures >= suspectAfter {
+		return true
+	}
+	quiet := max(stallMin, stallFactor*s.work)
+	return len(s.running) >= s.slots() && now.Sub(s.answered) > quiet
+}
+
+// finish frees a slot and learns from what became of the request.
+func (s *server) finish(now time.Time, id uint64, r Result) {
+	if _, ok := s.running[id]; !ok {
+		return
+	}
+	delete(s.running, id)
+	switch {
+	case r.Failed:
+		s.failures++
+	case r.Shed:
+		s.failures = 0
+		s.limit = max(1, s.limit-shedStep)
+	case r.Work > 0:
+		s.failures, s.answered = 0, now
+		s.limit = min(float64(s.Slots), s.limit+regainStep)
+		s.work += time.Duration(workMemory * float64(r.Work-s.work))
+	}
+}
+
+// expire frees slots whose lease ran out.
+func (s *server) expire(now time.Time) {
+	for id, g := range s.running {
+		if now.After(g.until) {
+			delete(s.running, id)
+			s.failures++
+		}
+	}
+}
+
+// wait estimates the time until a request behind n others starts.
+func (s *server) wait(now time.Time, n int) time.Duration {
+	free := s.slots() - len(s.running)
+	if free > n {
+		if s.isCold(now) {
+			return time.Duration(float64(n+1) / s.ColdRate * float64(time.Second))
+		}
+		return 0
+	}
+	turns := float64(n-free+1) / float64(s.slots())
+	d := time.Duration(turns * float64(s.work))
+	if s.isCold(now) {
+		d = max(d, time.Duration(float64(n+1)/s.ColdRate*float64(time.Second)))
+	}
+	return d
+}
--- /dev/null
+++ b/routemap/routemap.go
@@ -0,0 +1,212 @@
+// Package routemap holds a routing configuration in force: routes, services,
+// customers and limits, compiled for look-ups. A Map is immutable.
+package routemap
+
+import (
+	"crypto/sha256"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"godwitlock.example/godwitlock/topo"
+)
+
+// Kind says what may be repeated on a route.
+type Kind uint8
+
+// The kinds of routes.
+const (
+	// Idempotent requests may run more than once.
+	Idempotent Kind = iota + 1
+	// NonIdempotent requests run at most once per caller's attempt.
+	NonIdempotent
+	// Download requests are idempotent and have large responses.
+	Download
+)
+
+// Repeatable reports whether requests may run more than once.
+func (k Kind) Repeatable() bool { return k != NonIdempotent }
+
+// Part is one destination of a route.
+type Part struct {
+	Service topo.ServiceName
+	// Weight is the part's share of the requests, relative to the others.
+	Weight float64
+}
+
+// Route sends the requests of a host below a path prefix to services.
+type Route struct {
+	Name string
+	Host string
+	// PathPrefix begins and ends with a slash.
+	PathPrefix string
+	Kind       Kind
+	// Timeout is the longest time that a request is kept waiting.
+	Timeout time.Duration
+	// Objective is the latency within which an answer has its full value.
+	Objective time.Duration
+	// Attempts bounds the backend servers that one request is sent to.
+	Attempts int
+	// Priority is the rank of the requests; 0 is the most urgent.
+	Priority int
+	// Public routes need no caller key.
+	Public bool
+	Parts  []Part
+}
+
+// Service is a set of backend servers.
+type Service struct {
+	Name       topo.ServiceName
+	HealthPath string
+	// MaxConns bounds the connections of one server, over all VMs.
+	MaxConns int
+	// WarmUp is how long a server stays cold after it started.
+	WarmUp time.Duration
+	// ColdRate is the requests per second that a cold server bears; 0 when
+	// there is no bound.
+	ColdRate float64
+	// Keyed services divide their keys among their servers.
+	Keyed bool
+}
+
+// Customer is a party whose requests share a rate.
+type Customer struct {
+	ID   topo.CustomerID
+	Keys []string
+	// Priority replaces the route's priority; nil keeps it.
+	Priority *int
+	// Rate is in requests per second and Burst in requests, over all VMs
+	// together. A Rate of 0 means no limit.
+	Rate, Burst float64
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int64
+	// HeaderTimeout bounds the time to send a request's header section.
+	HeaderTimeout time.Duration
+	// IdleTimeout bounds the time between two requests of a connection.
+	IdleTimeout time.Duration
+}
+
+// Config is a version of the configuration.
+type Config struct {
+	Version   int64
+	Routes    []Route
+	Services  []Service
+	Customers []Customer
+	Limits    Limits
+}
+
+// keyHash stands for a caller key, so that the map holds no secrets.
+type keyHash [sha256.Size]byte
+
+// Map is a compiled Config.
+type Map struct {
+	Version  int64
+	Limits   Limits
+	hosts    map[string][]*Route
+	services map[topo.ServiceName]*Service
+	keys     map[keyHash]*Customer
+	byID     map[topo.CustomerID]*Customer
+	keyed    bool
+}
+
+// Compile checks cfg as a whole and returns its Map.
+func Compile(cfg Config) (*Map, error) {
+	m := &Map{
+		Version:  cfg.Version,
+		Limits:   cfg.Limits,
+		hosts:    make(map[string][]*Route),
+		services: make(map[topo.ServiceName]*Service),
+		keys:     make(map[keyHash]*Customer),
+		byID:     make(map[topo.CustomerID]*Customer),
+		keyed:    len(cfg.Customers) > 0,
+	}
+	for i := range cfg.Services {
+		m.services[cfg.Services[i].Name] = &cfg.Services[i]
+	}
+	for i := range cfg.Customers {
+		m.addCustomer(&cfg.Customers[i])
+	}
+	for i := range cfg.Routes {
+		if err := m.addRoute(&cfg.Routes[i]); err != nil {
+			return nil, errors.Annotatef(err, "route %q", cfg.Routes[i].Name)
+		}
+	}
+	for _, routes := range m.hosts {
+		sort.SliceStable(routes, func(i, j int) bool {
+			return len(routes[i].PathPrefix) > len(routes[j].PathPrefix)
+		})
+	}
+	return m, nil
+}
+
+func (m *Map) addCustomer(c *Customer) {
+	m.byID[c.ID] = c
+	for _, key := range c.Keys {
+		m.keys[sha256.Sum256([]byte(key))] = c
+	}
+	c.Keys = nil
+}
+
+func (m *Map) addRoute(r *Route) error {
+	switch {
+	case len(r.Parts) == 0:
+		return errors.New("the route has no service")
+	case r.Kind < Idempotent || r.Kind > Download:
+		return errors.New("the route has no kind")
+	}
+	for _, p := range r.Parts {
+		if m.services[p.Service] == nil {
+			return errors.Errorf("service %q does not exist", p.Service)
+		}
+	}
+	host := strings.ToLower(r.Host)
+	m.hosts[host] = append(m.hosts[host], r)
+	return nil
+}
+
+// Route returns the route with the longest prefix of path, or nil. Host may
+// carry a port.
+func (m *Map) Route(host, path string) *Route {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	for _, r := range m.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Authenticates reports whether the configuration has customers, so that
+// requests need a caller key.
+func (m *Map) Authenticates() bool { return m.keyed }
+
+// CustomerOf returns the customer that holds a caller key, or nil.
+func (m *Map) CustomerOf(key string) *Customer { return m.keys[sha256.Sum256([]byte(key))] }
+
+// Customer returns a customer by its id, or nil.
+func (m *Map) Customer(id topo.CustomerID) *Customer { return m.byID[id] }
+
+// Customers calls f for each customer, in no order.
+func (m *Map) Customers(f func(*Customer)) {
+	for _, c := range m.byID {
+		f(c)
+	}
+}
+
+// Service returns a service by its name, or nil.
+func (m *Map) Service(name topo.ServiceName) *Service { return m.services[name] }
+
+// Services calls f for each service, in no order.
+func (m *Map) Services(f func(*Service)) {
+	for _, s := range m.services {
+		f(s)
+	}
+}
--- a/store/store.go
+++ b/store/store.go
@@ -82,9 +82,10 @@
 	Leaving bool      `json:"leaving"`
 }
 
-// Store is the platform's object API. Implementations are safe for concurrent
-// use. Every method returns one of the errors above or a context error.
-type Store interface {
+// Objects are the calls that agree on and keep objects. Implementations are
+// safe for concurrent use. Every method returns one of the errors above or a
+// context error.
+type Objects interface {
 	// Get reads one object.
 	Get(ctx context.Context, key string) (Object, error)
 	// List reads all objects whose key begins with prefix, in key order.
@@ -96,6 +97,23 @@
 	Delete(ctx context.Context, key string, ifVersion uint64, writer string) error
 	// Watch waits at most wait for events after the given revision.
 	Watch(ctx context.Context, prefix string, after topo.Revision, wait time.Duration) (Changes, error)
+}
+
+// Store is the platform's whole object API.
+type Store interface {
+	Objects
 	// VMs reads the platform's lagging list of VMs.
 	VMs(ctx context.Context) ([]VMState, error)
 }
+
+// staleKey marks a context of reads that may be seconds old.
+type staleKey struct{}
+
+// AllowStale returns a context whose reads may be answered with data that is
+// seconds old, which costs the platform less.
+func AllowStale(ctx context.Context) context.Context {
+	return context.WithValue(ctx, staleKey{}, true)
+}
+
+// StaleAllowed reports whether ctx came from AllowStale.
+func StaleAllowed(ctx context.Context) bool { return ctx.Value(staleKey{}) != nil }
--- /dev/null
+++ b/view/view.go
@@ -0,0 +1,203 @@
+// Package view is a VM's current knowledge: the configuration, the backend
+// servers, the tables of keys and the other VMs. Several duties feed it; the
+// request path reads an immutable Snapshot without a lock.
+package view
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"godwitlock.example/godwitlock/directory"
+	"godwitlock.example/godwitlock/keyrange"
+	"godwitlock.example/godwitlock/routemap"
+	"godwitlock.example/godwitlock/topo"
+)
+
+// Member is a VM that the leader hears.
+type Member struct {
+	VM         topo.VMID
+	Addr       string
+	DataCentre topo.DataCentreName
+}
+
+// TableVersion orders the tables that leaders publish.
+type TableVersion struct {
+	Term    topo.Term
+	Version uint64
+}
+
+// Newer reports whether v replaces o.
+func (v TableVersion) Newer(o TableVersion) bool {
+	return v.Term > o.Term || v.Term == o.Term && v.Version > o.Version
+}
+
+// Snapshot is the state at one moment. It is immutable.
+type Snapshot struct {
+	// Routes is nil until a configuration is known.
+	Routes  *routemap.Map
+	Servers map[topo.ServerID]*directory.Server
+	// Unusable are servers that take no new requests.
+	Unusable map[topo.ServerID]bool
+	Tables   map[topo.ServiceName]*keyrange.Table
+	Members  []Member
+	homes    map[string][]Member
+}
+
+// Usable returns a server if new requests may be sent to it, or nil.
+func (s *Snapshot) Usable(id topo.ServerID) *directory.Server {
+	if s.Unusable[id] {
+		return nil
+	}
+	return s.Servers[id]
+}
+
+// Homes returns the home VM of a pool of slots and the VMs that stand in for
+// it, in order.
+func (s *Snapshot) Homes(pool string) []Member { return s.homes[pool] }
+
+// View is the mutable state. It is safe for concurrent use.
+type View struct {
+	mu        sync.Mutex
+	dir       *directory.Directory
+	routes    *routemap.Map
+	configRaw []byte
+	configRev int64
+	tables    map[topo.ServiceName]*keyrange.Table
+	tablesAt  TableVersion
+	members   []Member
+	memberSet uint64
+	built     uint64
+	dirty     bool
+	changed   chan struct{}
+	// confirmed is the time, by the boot-time clock, up to which the
+	// configuration is known to be the newest one.
+	confirmed atomic.Int64
+	snapshot  atomic.Pointer[Snapshot]
+}
+
+// New returns an empty view.
+func New() *View {
+	v := &View{dir: directory.New(), changed: make(chan struct{})}
+	v.snapshot.Store(&Snapshot{})
+	return v
+}
+
+// Snapshot returns the current state.
+func (v *View) Snapshot() *Snapshot { return v.snapshot.Load() }
+
+// Changed returns a channel that is closed at the next change.
+func (v *View) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
+// Confirm records that the configuration was the newest one at a time of the
+// boot-time clock.
+func (v *View) Confirm(at time.Time) {
+	for {
+		old := v.confirmed.Load()
+		if at.UnixNano() <= old || v.confirmed.CompareAndSwap(old, at.UnixNano()) {
+			return
+		}
+	}
+}
+
+// Confirmed returns the last time up to which the configuration is known to
+// be the newest one; the zero time means never.
+func (v *View) Confirmed() time.Time {
+	n := v.confirmed.Load()
+	if n == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, n)
+}
+
+// SetConfig puts a configuration in force unless a newer one is.
+func (v *View) SetConfig(m *routemap.Map, raw []byte, rev int64) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if rev <= v.configRev || v.routes != nil && m.Version < v.routes.Version {
+		return false
+	}
+	v.routes, v.configRaw, v.configRev = m, raw, rev
+	v.dirty = true
+	v.publish()
+	return true
+}
+
+// Config returns the stored form of the configuration in force and its
+// revision.
+func (v *View) Config() ([]byte, int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.configRaw, v.configRev
+}
+
+// Directory changes the directory under the view's lock.
+func (v *View) Directory(f func(*directory.Directory)) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	f(v.dir)
+	v.publish()
+}
+
+// SetTables replaces the tables of keys unless newer ones are known.
+func (v *View) SetTables(at TableVersion, tables map[topo.ServiceName]*keyrange.Table) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !at.Newer(v.tablesAt) {
+		return false
+	}
+	v.tables, v.tablesAt, v.dirty = tables, at, true
+	v.publish()
+	return true
+}
+
+// Tables returns the version of the tables.
+func (v *View) Tables() TableVersion {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.tablesAt
+}
+
+// SetMembers replaces the list of VMs; version identifies it.
+func (v *View) SetMembers(version uint64, members []Member) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if version == v.memberSet {
+		return
+	}
+	v.members, v.memberSet, v.dirty = members, version, true
+	v.publish()
+}
+
+// MembersVersion identifies the list of VMs.
+func (v *View) MembersVersion() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.memberSet
+}
+
+// publish makes a new snapshot when something changed. The lock is held.
+func (v *View) publish() {
+	if !v.dirty && v.built == v.dir.Version() {
+		return
+	}
+	v.built, v.dirty = v.dir.Version(), false
+	s := &Snapshot{
+		Routes: v.routes, Tables: v.tables, Members: v.members,
+		Servers: make(map[topo.ServerID]*directory.Server), Unusable: make(map[topo.ServerID]bool),
+	}
+	v.dir.Servers(func(d *directory.Server) {
+		s.Servers[d.ID] = d
+		if !v.dir.Usable(d) {
+			s.Unusable[d.ID] = true
+		}
+	})
+	s.homes = homes(s)
+	v.snapshot.Store(s)
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
