--- a/egress/conn.go
+++ b/egress/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -182,6 +183,9 @@
 	b = append(b, " HTTP/1.1\r\n"...)
 	b = appendField(b, "Host", req.Host)
 	for name, values := range req.Header {
+		if slices.Contains(h.Strip, name) {
+			continue
+		}
 		for _, v := range values {
 			b = appendField(b, name, v)
 		}
--- a/egress/egress.go
+++ b/egress/egress.go
@@ -32,7 +32,8 @@
 	Load string
 	// ParseLoad decodes the value of Load.
 	ParseLoad func(string) (Load, bool)
-	// Strip are fields of callers that are not passed on.
+	// Strip are fields of callers that are not passed on, in canonical form:
+	// those that only godwitlock may write.
 	Strip []string
 }
 
--- a/node/lease.go
+++ b/node/lease.go
@@ -68,9 +68,10 @@
 // Run drives the lease until ctx ends.
 func (d *leaseDuty) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		silent := d.silent()
 		d.mu.Lock()
 		now := clock.Boot()
-		d.lease.SetEager(d.silent(), now)
+		d.lease.SetEager(silent, now)
 		step := d.lease.Next(now)
 		d.mu.Unlock()
 		switch step.Action {
