--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -120,20 +120,51 @@
 }
 
 // attemptSlot finds the server and waits for its slot. Wait asks for an owner
-// other than the last one.
+// other than the last one. A request whose key gets another owner meanwhile
+// goes there.
 func (f *Forwarder) attemptSlot(ctx context.Context, r *request, wait bool) (held, *refusal) {
-	snap := f.View.Snapshot()
-	var pool string
-	if r.service.Keyed {
-		server, s, ref := f.owner(ctx, r, wait)
+	if !r.service.Keyed {
+		return f.slot(ctx, f.View.Snapshot(), r, view.PoolOf(r.service, ""))
+	}
+	for {
+		server, snap, ref := f.owner(ctx, r, wait)
 		if ref != nil {
 			return held{}, ref
 		}
-		snap, pool = s, view.PoolOf(r.service, server)
-	} else {
-		pool = view.PoolOf(r.service, "")
+		owned, stop := f.whileOwner(ctx, r, server)
+		h, ref := f.slot(owned, snap, r, view.PoolOf(r.service, server))
+		moved := owned.Err() != nil && ctx.Err() == nil
+		stop()
+		if !moved {
+			return h, ref
+		}
+		if ref == nil {
+			h.slot.Finish(permit.Result{})
+		}
 	}
-	return f.slot(ctx, snap, r, pool)
+}
+
+// whileOwner returns a context that ends when the request's key has no longer
+// the given owner.
+func (f *Forwarder) whileOwner(ctx context.Context, r *request, server topo.ServerID) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		for {
+			changed := f.View.Changed()
+			snap := f.View.Snapshot()
+			rng, ok := snap.Tables[r.service.Name].Find(r.Key)
+			if !ok || rng.Server != server || rng.Moving || snap.Usable(server) == nil {
+				cancel()
+				return
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return ctx, cancel
 }
 
 func (f *Forwarder) slot(ctx context.Context, snap *view.Snapshot, r *request, pool string) (held, *refusal) {
@@ -234,7 +265,6 @@
 // send sends the request to a server once and frees its slot, unless a long
 // answer is still to be passed on.
 func (f *Forwarder) send(ctx context.Context, r *request, server held) *result {
-	f.Stats.Arrived(r.service.Name, r.Key)
 	began := time.Now()
 	resp, err := f.Egress.Do(ctx, egress.Target{ID: server.ID, Addr: server.Addr, MaxConns: r.service.MaxConns}, r.outgoing())
 	work := time.Since(began)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -118,6 +118,9 @@
 	part := f.split.Next(r.route)
 	r.service = snap.Routes.Service(part.Service)
 	f.Budgets.Request(part.Service)
+	if r.service.Keyed {
+		f.Stats.Arrived(part.Service, r.Key)
+	}
 	ans, ran := f.run(ctx, r)
 	if !ran && r.customer != nil {
 		f.Rates.Return(r.customer.ID)
--- a/node/assigner.go
+++ b/node/assigner.go
@@ -311,7 +311,9 @@
 			})
 		}
 		h.Target = target
-		m.Assign(h, ownerOf(snap, target))
+		if !m.Assign(h, ownerOf(snap, target)) {
+			continue
+		}
 		a.node.log.Event("keys_assigned").Str("service", string(svc.Name)).Uint16("first", h.First).
 			Uint16("last", h.Last).Str("from", string(h.Server)).Str("to", string(target)).Send()
 	}
--- a/node/reports.go
+++ b/node/reports.go
@@ -23,7 +23,7 @@
 	// urgentReport is the least time between two reports that a request
 	// without a token asks for.
 	urgentReport = 25 * time.Millisecond
-	// tokenWait is how long a request waits for a token: one report.
+	// tokenWait is how long a request waits for a token: a few reports.
 	tokenWait = 120 * time.Millisecond
 )
 
@@ -80,8 +80,8 @@
 // Answered implements forward.Stats.
 func (r *reports) Answered(route, kind string, d time.Duration) { r.metrics.Answered(route, kind, d) }
 
-// Take implements forward.Rates. A request without a token waits for one
-// report.
+// Take implements forward.Rates. A request without a token waits for the
+// reports of a moment.
 func (r *reports) Take(ctx context.Context, id topo.CustomerID) bool {
 	r.mu.Lock()
 	ok, granted := r.purse.Take(clock.Boot(), id), r.granted
@@ -89,20 +89,27 @@
 	if ok {
 		return true
 	}
-	select {
-	case r.urgent <- struct{}{}:
-	default:
-	}
 	t := time.NewTimer(tokenWait)
 	defer t.Stop()
-	select {
-	case <-granted:
-	case <-t.C:
-	case <-ctx.Done():
+	for {
+		select {
+		case r.urgent <- struct{}{}:
+		default:
+		}
+		select {
+		case <-granted:
+		case <-t.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+		r.mu.Lock()
+		ok, granted = r.purse.Retake(clock.Boot(), id), r.granted
+		r.mu.Unlock()
+		if ok {
+			return true
+		}
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.purse.Retake(clock.Boot(), id)
 }
 
 // Return implements forward.Rates.
--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -11,7 +11,9 @@
 //     when its connection was given up.
 //   - Keys go to another owner when the last one has answered their release and
 //     no unanswered order is left that could still be carried out, or when every
-//     hold that it can have has ended, or when its process is known to be dead.
+//     hold that it can have has ended, or when another life of the server has
+//     registered. A refused connection proves nothing: servers refuse them while
+//     their queue is long.
 //   - A new leader knows none of its predecessor's orders, which were all sent
 //     before its lease began; it bounds their holds from that moment.
 //
@@ -46,10 +48,6 @@
 	// lostAfter is the number of renewals without an answer after which a
 	// server counts as lost and its holds are left to end.
 	lostAfter = 3
-	// deadAfter is the number of refused connections, over at least
-	// deadSpan, that prove that no process serves the address.
-	deadAfter = 3
-	deadSpan  = 300 * time.Millisecond
 )
 
 // Condition is what the directory knows of an owner.
@@ -135,24 +133,15 @@
 	Rejected
 	// NotSent: no byte of the order was sent.
 	NotSent
-	// Refused: the server's address refused the connection.
-	Refused
 	// Unanswered: the order may be carried out, also later.
 	Unanswered
 )
 
-// refusals counts refused connections to an owner.
-type refusals struct {
-	count int
-	since time.Time
-}
-
 // Machine is the state of one service. The zero value is not usable; call New.
 type Machine struct {
 	table    *keyrange.Table
 	version  uint64
 	holds    []*Hold
-	refused  map[keyrange.Owner]refusals
 	nextID   uint64
 	storing  *keyrange.Table
 	holdTime time.Duration
@@ -164,7 +153,7 @@
 // table that the store holds under version.
 func New(start time.Time, table *keyrange.Table, version uint64, maxHold time.Duration) *Machine {
 	m := &Machine{
-		table: table, version: version, refused: make(map[keyrange.Owner]refusals),
+		table: table, version: version,
 		holdTime: min(HoldTime, maxHold), changes: 1,
 	}
 	end := start.Add(m.longest() + transit)
@@ -251,13 +240,14 @@
 // is under way.
 func (h *Hold) Divisible() bool { return h.Phase == Held && !h.inFlight }
 
-// Assign gives the keys of a free hold to an owner. The caller then stores the
-// table returned by Pending.
-func (m *Machine) Assign(h *Hold, owner keyrange.Owner) {
+// Assign gives the keys of a free hold to an owner, unless a write of the table
+// is in progress. The caller then stores the table returned by Pending.
+func (m *Machine) Assign(h *Hold, owner keyrange.Owner) bool {
 	if h.Phase != Free || m.storing != nil {
-		return
+		return false
 	}
 	h.Phase, h.nextOwner = Storing, owner
+	return true
 }
 
 // Fill gives all keys to owners when there are none yet: range i to owners[i].
@@ -325,7 +315,7 @@
 	if h.Phase != Held && h.Phase != Vacating {
 		return Order{}, false
 	}
-	if cond == Dead || m.dead(h.Owner, now) {
+	if cond == Dead {
 		m.free(h, "")
 		return Order{}, false
 	}
@@ -363,16 +353,9 @@
 	m.changes++
 }
 
-// dead reports whether the owner's process is known to have ended.
-func (m *Machine) dead(o keyrange.Owner, now time.Time) bool {
-	r, ok := m.refused[o]
-	return ok && r.count >= deadAfter && now.Sub(r.since) >= deadSpan
-}
-
 // Result records what became of an order at now. Handover comes with the
 // answer of a release.
 func (m *Machine) Result(now time.Time, o Order, outcome Outcome, handover string) {
-	m.countRefusal(now, o.Owner, outcome)
 	for _, h := range m.holds {
 		if h.id != o.hold {
 			continue
@@ -387,20 +370,6 @@
 	}
 }
 
-func (m *Machine) countRefusal(now time.Time, owner keyrange.Owner, outcome Outcome) {
-	switch outcome {
-	case Refused:
-		r := m.refused[owner]
-		if r.count == 0 {
-			r.since = now
-		}
-		r.count++
-		m.refused[owner] = r
-	case Done, Rejected:
-		delete(m.refused, owner)
-	}
-}
-
 func (m *Machine) grantResult(now time.Time, h *Hold, outcome Outcome) {
 	switch outcome {
 	case Done:
@@ -416,7 +385,7 @@
 		if h.Phase == Held {
 			m.vacate(h, h.Server)
 		}
-	case NotSent, Refused:
+	case NotSent:
 		h.failures++
 		h.next = now.Add(retryInterval)
 	case Unanswered:
--- a/placement/load.go
+++ b/placement/load.go
@@ -21,13 +21,13 @@
 	// loadMemory is the time constant of the load's average: long enough for
 	// some requests a bucket, short enough to follow a key that turned hot
 	// within about a second.
-	loadMemory = 1500 * time.Millisecond
-	// speedMemory is the weight of a new report in a server's speed.
-	speedMemory = 0.2
-	// minSpeed and maxSpeed bound the measured speed of a server.
-	minSpeed, maxSpeed = 0.25, 2
-	// minReport is the number of answers from which a report tells a speed.
-	minReport = 2
+	loadMemory = time.Second
+	// workMemory is the number of answers over which the time of work of a
+	// server is averaged, and usualMemory the same for the whole service.
+	workMemory, usualMemory = 8.0, 400.0
+	// firstWork is the time of work that is assumed before the first answer,
+	// in seconds.
+	firstWork = 0.15
 )
 
 // BucketOf returns the bucket of a key.
@@ -36,15 +36,15 @@
 // Load is the load of one service: requests per second by bucket, and the
 // speed of its servers. It is not safe for concurrent use.
 type Load struct {
-	rate   [Buckets]float64
-	last   time.Time
-	speed  map[topo.ServerID]float64
-	usual  float64
-	weight float64
+	rate [Buckets]float64
+	last time.Time
+	// work is the mean time of work by server, usual that of all, in seconds.
+	work  map[topo.ServerID]float64
+	usual float64
 }
 
 // NewLoad returns an empty load.
-func NewLoad() *Load { return &Load{speed: make(map[topo.ServerID]float64)} }
+func NewLoad() *Load { return &Load{work: make(map[topo.ServerID]float64), usual: firstWork} }
 
 // Decay ages the averages to now.
 func (l *Load) Decay(now time.Time) {
@@ -67,31 +67,22 @@
 // Answered records the answers of a server: their number and mean time of
 // work, without the time in a queue.
 func (l *Load) Answered(id topo.ServerID, n int, mean time.Duration) {
-	if n < minReport || mean <= 0 {
+	if n <= 0 || mean <= 0 {
 		return
 	}
-	w := float64(n)
-	l.usual += w * mean.Seconds()
-	l.weight += w
-	const memory = 400 // requests over which the usual time is averaged
-	if l.weight > memory {
-		l.usual *= memory / l.weight
-		l.weight = memory
+	average := func(old, memory float64) float64 {
+		return old + (1-math.Exp(-float64(n)/memory))*(mean.Seconds()-old)
 	}
-	speed := min(max(l.usual/l.weight/mean.Seconds(), minSpeed), maxSpeed)
-	old, ok := l.speed[id]
-	if !ok {
-		old = 1
-	}
-	l.speed[id] = old + speedMemory*(speed-old)
+	l.work[id] = average(l.Work(id), workMemory)
+	l.usual = average(l.usual, usualMemory)
 }
 
-// Speed returns the speed of a server relative to its peers.
-func (l *Load) Speed(id topo.ServerID) float64 {
-	if v, ok := l.speed[id]; ok {
+// Work returns the mean time of work of a server, in seconds.
+func (l *Load) Work(id topo.ServerID) float64 {
+	if v, ok := l.work[id]; ok {
 		return v
 	}
-	return 1
+	return l.usual
 }
 
 // Between returns the load of the keys from first to last, in requests per
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -9,18 +9,22 @@
 )
 
 const (
-	// overload is how far above its part of the load a server may be before
-	// keys move. Measured loads of a second or two scatter by about a third.
-	overload = 1.5
-	// minExcess is the excess in requests per second below which no keys move.
-	minExcess = 1.5
+	// high is the utilisation from which keys move away from a server: above
+	// it requests wait for slots. target is what moves aim at.
+	high, target = 0.65, 0.45
+	// highRatio and targetRatio are the same relative to the mean utilisation,
+	// when that is high itself.
+	highRatio, targetRatio = 1.5, 1.1
 	// maxMoves bounds the moves of one plan, maxMoving those under way.
-	maxMoves, maxMoving = 4, 10
+	maxMoves, maxMoving = 6, 16
 	// coldShare is the part of a cold server's bound that its keys may bring.
 	coldShare = 0.6
 	// pieces is the number of parts in which a leaving server's keys move, so
 	// that no single server gets all of them.
 	pieces = 3
+	// minPiece is the load below which keys are not divided further, in
+	// requests per second.
+	minPiece = 0.5
 )
 
 // Server is a server that may own keys.
@@ -49,52 +53,61 @@
 // share is a server's part of the load.
 type share struct {
 	Server
-	weight float64
-	// load and part are in requests per second: what it has and should have.
-	load, part float64
-	keys       int
+	// capacity is the requests per second that the server can do, load what
+	// its keys bring.
+	capacity, load float64
+	keys           int
 }
 
-// deficit is how much more load the server should have.
-func (s *share) deficit() float64 { return s.part - s.load }
+// utilisation is the part of the capacity that is in use.
+func (s *share) utilisation() float64 { return s.load / s.capacity }
 
-// shares computes every server's load and part.
-func shares(load *Load, servers []Server, table []Piece) map[topo.ServerID]*share {
-	out := make(map[topo.ServerID]*share, len(servers))
-	total, weights := 0.0, 0.0
+// room is the load that the server may take on up to a utilisation.
+func (s *share) room(level float64) float64 { return level*s.capacity - s.load }
+
+// state is the load of all servers.
+type state struct {
+	load  *Load
+	all   []*share
+	byID  map[topo.ServerID]*share
+	table []Piece
+	// mean is the mean utilisation.
+	mean float64
+}
+
+func newState(load *Load, servers []Server, table []Piece) *state {
+	st := &state{load: load, byID: make(map[topo.ServerID]*share, len(servers)), table: table}
+	total, capacity := 0.0, 0.0
 	for _, s := range servers {
-		sh := &share{Server: s, weight: float64(s.Slots) * load.Speed(s.ID)}
-		out[s.ID] = sh
-		if s.ColdRate == 0 {
-			weights += sh.weight
+		sh := &share{Server: s, capacity: float64(s.Slots) / load.Work(s.ID)}
+		if s.ColdRate > 0 {
+			sh.capacity = min(sh.capacity, s.ColdRate*coldShare)
 		}
+		capacity += sh.capacity
+		st.byID[s.ID] = sh
+		st.all = append(st.all, sh)
 	}
 	for _, p := range table {
 		l := load.Between(p.First, p.Last)
 		total += l
-		if sh := out[p.Owner]; sh != nil {
+		if sh := st.byID[p.Owner]; sh != nil {
 			sh.load += l
-			sh.keys += int(p.Last) - int(p.First) + 1
+			sh.keys += p.width()
 		}
 	}
-	for _, sh := range out {
-		if sh.ColdRate > 0 {
-			sh.part = min(sh.ColdRate*coldShare, total/float64(len(out)))
-			continue
-		}
-		if weights > 0 {
-			sh.part = total * sh.weight / weights
-		}
+	if capacity > 0 {
+		st.mean = total / capacity
 	}
-	return out
+	return st
 }
 
-// sorted returns the shares by decreasing key, ties by id.
-func sorted(all map[topo.ServerID]*share, key func(*share) float64) []*share {
-	list := make([]*share, 0, len(all))
-	for _, s := range all {
-		list = append(list, s)
-	}
+// high and target are the levels of utilisation in force.
+func (st *state) high() float64   { return max(high, highRatio*st.mean) }
+func (st *state) target() float64 { return max(target, targetRatio*st.mean) }
+
+// sorted returns the servers by decreasing key, ties by id.
+func (st *state) sorted(key func(*share) float64) []*share {
+	list := slices.Clone(st.all)
 	slices.SortFunc(list, func(a, b *share) int {
 		if c := cmp.Compare(key(b), key(a)); c != 0 {
 			return c
@@ -104,6 +117,8 @@
 	return list
 }
 
+func (p Piece) width() int { return int(p.Last) - int(p.First) + 1 }
+
 // Initial divides all keys among servers by their slots, in the order of the
 // servers' ids.
 func Initial(servers []Server) []Piece {
@@ -126,16 +141,13 @@
 	return out
 }
 
-// Target chooses the server for keys that have no owner.
+// Target chooses the server for keys that have no owner: the one that is left
+// with the most room, by its share of the capacity and of the keys.
 func Target(load *Load, servers []Server, table []Piece, first, last keyrange.Key) (topo.ServerID, bool) {
-	all := shares(load, servers, table)
+	st := newState(load, servers, table)
 	moved := load.Between(first, last)
-	best := sorted(all, func(s *share) float64 {
-		if s.ColdRate > 0 && s.load+moved > s.part {
-			return s.deficit() - moved - s.weight
-		}
-		// Between equal loads, the server with fewer keys for its slots.
-		return s.deficit()/max(s.weight, 1) - float64(s.keys)/keyrange.Keys
+	best := st.sorted(func(s *share) float64 {
+		return -(s.load+moved)/s.capacity - float64(s.keys)/keyrange.Keys
 	})
 	if len(best) == 0 {
 		return "", false
@@ -148,7 +160,7 @@
 func Divide(load *Load, first, last keyrange.Key) []Piece {
 	total := load.Between(first, last)
 	var out []Piece
-	for i := pieces; i > 1 && total > minExcess; i-- {
+	for i := pieces; i > 1 && total > minPiece; i-- {
 		end, part := load.Cut(first, last, total/float64(i))
 		if end >= last {
 			break
@@ -159,7 +171,8 @@
 	return append(out, Piece{First: first, Last: last})
 }
 
-// Plan returns moves that bring the servers' loads closer to their parts.
+// Plan returns moves that take load off servers that have too much, and give
+// keys to servers that have none.
 func Plan(load *Load, servers []Server, table []Piece) []Move {
 	moving := 0
 	for _, p := range table {
@@ -167,35 +180,35 @@
 			moving++
 		}
 	}
-	all := shares(load, servers, table)
+	st := newState(load, servers, table)
 	var out []Move
 	for len(out) < maxMoves && moving+len(out) < maxMoving {
-		m, ok := next(load, all, table)
+		m, ok := st.next()
 		if !ok {
 			break
 		}
 		out = append(out, m)
-		table = apply(table, m)
+		st.apply(m)
 	}
 	return out
 }
 
 // next returns the most useful move.
-func next(load *Load, all map[topo.ServerID]*share, table []Piece) (Move, bool) {
-	if m, ok := first(load, all, table); ok {
+func (st *state) next() (Move, bool) {
+	if m, ok := st.fillEmpty(); ok {
 		return m, true
 	}
-	targets := sorted(all, (*share).deficit)
-	for _, from := range sorted(all, func(s *share) float64 { return -s.deficit() }) {
-		excess := -from.deficit()
-		if excess < minExcess || from.load < overload*from.part {
+	targets := st.sorted(func(s *share) float64 { return s.room(st.target()) })
+	for _, from := range st.sorted((*share).utilisation) {
+		if from.utilisation() < st.high() {
 			return Move{}, false
 		}
 		for _, to := range targets[:min(3, len(targets))] {
-			if to.ID == from.ID || to.deficit() <= 0 {
+			want := min(-from.room(st.target()), to.room(st.target()))
+			if to.ID == from.ID || want <= 0 {
 				continue
 			}
-			if m, ok := shed(load, table, from, to, min(excess, to.deficit())); ok {
+			if m, ok := st.shed(from, to, want); ok {
 				return m, true
 			}
 		}
@@ -203,17 +216,17 @@
 	return Move{}, false
 }
 
-// first gives keys to a server that has none.
-func first(load *Load, all map[topo.ServerID]*share, table []Piece) (Move, bool) {
-	for _, to := range sorted(all, (*share).deficit) {
-		if to.keys > 0 || to.part <= 0 {
+// fillEmpty gives keys to a server that has none.
+func (st *state) fillEmpty() (Move, bool) {
+	for _, to := range st.all {
+		if to.keys > 0 {
 			continue
 		}
-		for _, from := range sorted(all, func(s *share) float64 { return s.load / max(s.weight, 1) }) {
+		for _, from := range st.sorted((*share).utilisation) {
 			if from.ID == to.ID || from.keys == 0 {
 				continue
 			}
-			if m, ok := shed(load, table, from, to, min(to.part, from.load/2)); ok {
+			if m, ok := st.shed(from, to, min(st.mean*to.capacity, from.load/2)); ok {
 				return m, true
 			}
 		}
@@ -221,54 +234,57 @@
 	return Move{}, false
 }
 
-// shed cuts keys with about the given load off one of the server's pieces, at
-// the end that moves fewer keys.
-func shed(load *Load, table []Piece, from, to *share, want float64) (Move, bool) {
+// shed cuts keys with about the wanted load off one of the server's pieces.
+// Of those that fit, it takes the part with the fewest keys.
+func (st *state) shed(from, to *share, want float64) (Move, bool) {
 	var best Move
-	bestCost := -1.0
-	for _, p := range table {
-		if p.Owner != from.ID || p.Fixed || p.Last-p.First < 1 {
+	width := 0
+	for _, p := range st.table {
+		if p.Owner != from.ID || p.Fixed || p.width() < 2 {
 			continue
 		}
-		for _, m := range candidates(load, p, want) {
-			got := load.Between(m.First, m.Last)
-			if got > want*1.5 && got > from.load/2 || got < want*0.3 {
+		for _, m := range st.candidates(p, want) {
+			got := st.load.Between(m.First, m.Last)
+			if !fits(from, to, got, want) {
 				continue
 			}
-			if to.ColdRate > 0 && to.load+got > to.part*1.3 {
-				continue
-			}
-			if cost := float64(m.Last-m.First) + 1; bestCost < 0 || cost < bestCost {
-				best, bestCost = m, cost
+			if w := int(m.Last) - int(m.First) + 1; width == 0 || w < width {
+				best, width = m, w
 			}
 		}
 	}
-	if bestCost < 0 {
-		return Move{}, false
-	}
 	best.Target = to.ID
-	moved := load.Between(best.First, best.Last)
-	from.load -= moved
-	to.load += moved
-	to.keys += int(bestCost)
-	from.keys -= int(bestCost)
-	return best, true
+	return best, width > 0
+}
+
+// fits reports whether moving a load helps: it is not much less than wanted,
+// and the server that takes it is left with a lower utilisation than the one
+// that gives it had.
+func fits(from, to *share, got, want float64) bool {
+	if got < want*0.3 {
+		return false
+	}
+	after := (to.load + got) / to.capacity
+	if to.ColdRate > 0 && after > 1.3 {
+		return false
+	}
+	return got <= want*1.5 || after < 0.8*from.utilisation()
 }
 
 // candidates returns the parts with about the wanted load at both ends of a
 // piece, and its hottest bucket.
-func candidates(load *Load, p Piece, want float64) []Move {
+func (st *state) candidates(p Piece, want float64) []Move {
 	var out []Move
-	if end, _ := load.Cut(p.First, p.Last, want); end < p.Last {
+	if end, _ := st.load.Cut(p.First, p.Last, want); end < p.Last {
 		out = append(out, Move{First: p.First, Last: end})
 	}
-	if start, ok := cutBack(load, p, want); ok {
+	if start, ok := st.load.cutBack(p, want); ok {
 		out = append(out, Move{First: start, Last: p.Last})
 	}
 	hot, rate := -1, 0.0
 	for b := BucketOf(p.First); b <= BucketOf(p.Last); b++ {
-		if load.rate[b] > rate {
-			hot, rate = b, load.rate[b]
+		if st.load.rate[b] > rate {
+			hot, rate = b, st.load.rate[b]
 		}
 	}
 	if hot >= 0 {
@@ -284,12 +300,12 @@
 }
 
 // cutBack is Cut from the end of a piece.
-func cutBack(load *Load, p Piece, want float64) (keyrange.Key, bool) {
+func (l *Load) cutBack(p Piece, want float64) (keyrange.Key, bool) {
 	total := 0.0
 	for k := int(p.Last); k >= int(p.First); {
 		b := k / BucketWidth
 		begin := max(b*BucketWidth, int(p.First))
-		total += load.rate[b] * float64(k-begin+1) / BucketWidth
+		total += l.rate[b] * float64(k-begin+1) / BucketWidth
 		if total >= want {
 			return keyrange.Key(begin), begin > int(p.First)
 		}
@@ -298,10 +314,10 @@
 	return p.First, false
 }
 
-// apply returns the table after a move.
-func apply(table []Piece, m Move) []Piece {
+// apply changes the state as if the move had been made.
+func (st *state) apply(m Move) {
 	var out []Piece
-	for _, p := range table {
+	for _, p := range st.table {
 		if p.Last < m.First || p.First > m.Last {
 			out = append(out, p)
 			continue
@@ -309,10 +325,22 @@
 		if p.First < m.First {
 			out = append(out, Piece{First: p.First, Last: m.First - 1, Owner: p.Owner, Fixed: p.Fixed})
 		}
-		out = append(out, Piece{First: m.First, Last: m.Last, Owner: m.Target, Fixed: true})
+		moved := Piece{First: max(p.First, m.First), Last: min(p.Last, m.Last), Owner: m.Target, Fixed: true}
+		out = append(out, moved)
+		st.account(p.Owner, m.Target, moved)
 		if p.Last > m.Last {
 			out = append(out, Piece{First: m.Last + 1, Last: p.Last, Owner: p.Owner, Fixed: p.Fixed})
 		}
 	}
-	return out
+	st.table = out
+}
+
+func (st *state) account(from, to topo.ServerID, p Piece) {
+	load := st.load.Between(p.First, p.Last)
+	if s := st.byID[from]; s != nil {
+		s.load, s.keys = s.load-load, s.keys-p.width()
+	}
+	if s := st.byID[to]; s != nil {
+		s.load, s.keys = s.load+load, s.keys+p.width()
+	}
 }
