--- a/directory/directory.go
+++ b/directory/directory.go
@@ -65,8 +65,19 @@
 	graceUntil time.Time
 	// version counts changes that matter for routing.
 	version uint64
+	// gone lists the last removals.
+	gone []removal
 }
 
+// removal is a server that left the directory at a version.
+type removal struct {
+	id      topo.ServerID
+	version uint64
+}
+
+// maxRemovals bounds the removals that are remembered.
+const maxRemovals = 1024
+
 // New returns an empty directory.
 func New() *Directory {
 	return &Directory{
@@ -118,8 +129,33 @@
 		}
 		return
 	}
+	d.drop(id)
+}
+
+// drop removes a server for good.
+func (d *Directory) drop(id topo.ServerID) {
 	delete(d.servers, id)
+	delete(d.lapsed, id)
 	d.version++
+	if len(d.gone) >= maxRemovals {
+		d.gone = append(d.gone[:0], d.gone[maxRemovals/2:]...)
+	}
+	d.gone = append(d.gone, removal{id, d.version})
+}
+
+// GoneSince returns the servers that were removed after a version; false when
+// that is not remembered.
+func (d *Directory) GoneSince(version uint64) ([]topo.ServerID, bool) {
+	if version > d.version || len(d.gone) > 0 && version < d.gone[0].version-1 && len(d.gone) >= maxRemovals/2 {
+		return nil, false
+	}
+	var out []topo.ServerID
+	for _, g := range d.gone {
+		if g.version > version && d.servers[g.id] == nil {
+			out = append(out, g.id)
+		}
+	}
+	return out, true
 }
 
 // Replace records a full listing at revision rev: every known server that is
@@ -148,9 +184,7 @@
 func (d *Directory) Expire(now time.Time) {
 	for id, until := range d.lapsed {
 		if !now.Before(until) {
-			delete(d.lapsed, id)
-			delete(d.servers, id)
-			d.version++
+			d.drop(id)
 		}
 	}
 }
@@ -208,9 +242,18 @@
 func (d *Directory) Sync(ids map[topo.ServerID]bool, rev int64) {
 	for id, s := range d.servers {
 		if !ids[id] && s.Rev <= rev {
-			delete(d.servers, id)
-			delete(d.lapsed, id)
-			d.version++
+			d.drop(id)
+		}
+	}
+	d.Advance(rev)
+}
+
+// Drop removes servers that the leader, which knows the servers up to revision
+// rev, has removed.
+func (d *Directory) Drop(ids []topo.ServerID, rev int64) {
+	for _, id := range ids {
+		if s := d.servers[id]; s != nil && s.Rev <= rev {
+			d.drop(id)
 		}
 	}
 	d.Advance(rev)
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -10,7 +10,6 @@
 	"godwitlock.example/godwitlock/clock"
 	"godwitlock.example/godwitlock/directory"
 	"godwitlock.example/godwitlock/fleet/fleetpb"
-	"godwitlock.example/godwitlock/keyrange"
 	"godwitlock.example/godwitlock/peer"
 	"godwitlock.example/godwitlock/topo"
 	"godwitlock.example/godwitlock/view"
@@ -32,6 +31,8 @@
 	peers *peer.Pool
 	// setConfig decodes a configuration and puts it in force.
 	setConfig func(raw []byte, rev int64) error
+	// leaseSeen is told the version of the lease under a term.
+	leaseSeen func(term topo.Term, version uint64)
 
 	mu    sync.Mutex
 	heard time.Time
@@ -43,9 +44,10 @@
 }
 
 // NewFollower returns a follower. SetConfig decodes a configuration and puts
-// it in force.
-func NewFollower(self view.Member, boot string, v *view.View, peers *peer.Pool, setConfig func([]byte, int64) error) *Follower {
-	return &Follower{self: self, boot: boot, view: v, peers: peers, setConfig: setConfig}
+// it in force; leaseSeen is told the version of the lease under a term.
+func NewFollower(self view.Member, boot string, v *view.View, peers *peer.Pool,
+	setConfig func([]byte, int64) error, leaseSeen func(topo.Term, uint64)) *Follower {
+	return &Follower{self: self, boot: boot, view: v, peers: peers, setConfig: setConfig, leaseSeen: leaseSeen}
 }
 
 // Heard returns when the leader last answered, and up to when it then knew the
@@ -103,13 +105,14 @@
 		return err
 	}
 	now := clock.Boot()
-	if len(resp.GetIds()) > 0 || resp.GetServersRev() > 0 {
+	if resp.GetServersRev() > 0 {
 		f.view.Directory(func(d *directory.Directory) { applyDirectory(d, resp, now) })
 	}
 	if len(resp.GetMembers()) > 0 {
 		f.view.SetMembers(resp.GetMembersVersion(), members(resp))
 	}
 	f.view.Confirm(known)
+	f.leaseSeen(topo.Term(resp.GetTerm()), resp.GetLeaseVersion())
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.heard, f.known, f.term = now, known, topo.Term(resp.GetTerm())
@@ -118,26 +121,20 @@
 }
 
 func (f *Follower) applyTables(resp *fleetpb.FollowResponse) error {
-	if len(resp.GetTables()) == 0 {
+	at, have := f.view.KeyTables()
+	next := view.TableVersion{Term: topo.Term(resp.GetTerm()), Version: resp.GetTableVersion()}
+	if !next.Newer(at) {
 		return nil
 	}
-	tables := make(map[topo.ServiceName]*keyrange.Table)
-	for _, data := range resp.GetTables() {
-		t, err := keyrange.Decode(data)
-		if err != nil {
-			return err
-		}
-		tables[t.Service] = t
+	tables, err := merge(have, resp)
+	if err != nil {
+		return err
 	}
-	f.view.SetTables(view.TableVersion{Term: topo.Term(resp.GetTerm()), Version: resp.GetTableVersion()}, tables)
+	f.view.SetTables(next, tables)
 	return nil
 }
 
 func applyDirectory(d *directory.Directory, resp *fleetpb.FollowResponse, now time.Time) {
-	ids := make(map[topo.ServerID]bool)
-	for _, id := range resp.GetIds() {
-		ids[topo.ServerID(id)] = true
-	}
 	for _, s := range resp.GetServers() {
 		d.Put(directory.Server{
 			ID: topo.ServerID(s.GetId()), Service: topo.ServiceName(s.GetService()), Addr: s.GetAddr(),
@@ -146,7 +143,19 @@
 			ColdFor: millis(s.GetColdMs()), SeenAt: now, Rev: s.GetRev(),
 		})
 	}
-	d.Sync(ids, resp.GetServersRev())
+	if resp.GetComplete() {
+		ids := make(map[topo.ServerID]bool)
+		for _, id := range resp.GetIds() {
+			ids[topo.ServerID(id)] = true
+		}
+		d.Sync(ids, resp.GetServersRev())
+	} else {
+		ids := make([]topo.ServerID, 0, len(resp.GetIds()))
+		for _, id := range resp.GetIds() {
+			ids = append(ids, topo.ServerID(id))
+		}
+		d.Drop(ids, resp.GetServersRev())
+	}
 	names := make([]topo.DataCentreName, 0, len(resp.GetEvacuated()))
 	for _, n := range resp.GetEvacuated() {
 		names = append(names, topo.DataCentreName(n))
--- a/fleet/hub.go
+++ b/fleet/hub.go
@@ -42,6 +42,8 @@
 	self view.Member
 	// leads returns the term while this VM leads.
 	leads func() (topo.Term, bool)
+	// leaseVersion returns the version of the lease in the store.
+	leaseVersion func() uint64
 	// knownAt returns the time up to which this VM knows the store.
 	knownAt func() time.Time
 	loads   Loads
@@ -49,17 +51,17 @@
 	mu      sync.Mutex
 	members map[topo.VMID]*member
 	version uint64
-	tables  [][]byte
+	tables  *tableLog
 	at      view.TableVersion
 	ledger  *quota.Ledger
 	changed chan struct{}
 }
 
 // NewHub returns a hub.
-func NewHub(v *view.View, self view.Member, leads func() (topo.Term, bool), knownAt func() time.Time, loads Loads) *Hub {
+func NewHub(v *view.View, self view.Member, leads func() (topo.Term, bool), leaseVersion func() uint64, knownAt func() time.Time, loads Loads) *Hub {
 	return &Hub{
-		view: v, self: self, leads: leads, knownAt: knownAt, loads: loads,
-		members: make(map[topo.VMID]*member), changed: make(chan struct{}),
+		view: v, self: self, leads: leads, leaseVersion: leaseVersion, knownAt: knownAt, loads: loads,
+		members: make(map[topo.VMID]*member), changed: make(chan struct{}), tables: newTableLog(),
 	}
 }
 
@@ -68,6 +70,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.ledger = quota.NewLedger(now)
+	h.tables = newTableLog()
 	h.members = make(map[topo.VMID]*member)
 	h.version = uint64(now.UnixNano())
 	h.publishMembers()
@@ -90,21 +93,13 @@
 }
 
 // Publish puts tables in force here and at the VMs that follow.
-func (h *Hub) Publish(at view.TableVersion, tables map[topo.ServiceName]*keyrange.Table) error {
-	var encoded [][]byte
-	for _, t := range tables {
-		data, err := t.Encode()
-		if err != nil {
-			return err
-		}
-		encoded = append(encoded, data)
-	}
+func (h *Hub) Publish(at view.TableVersion, tables map[topo.ServiceName]*keyrange.Table) {
 	h.view.SetTables(at, tables)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.tables, h.at = encoded, at
+	h.tables.add(at.Version, tables)
+	h.at = at
 	h.wake()
-	return nil
 }
 
 // Expire forgets VMs that were not heard of.
@@ -225,7 +220,9 @@
 
 func (h *Hub) response(req *fleetpb.FollowRequest, term topo.Term) *fleetpb.FollowResponse {
 	now := clock.Boot()
-	out := &fleetpb.FollowResponse{Leads: true, Term: uint64(term), AgeMs: now.Sub(h.knownAt()).Milliseconds()}
+	out := &fleetpb.FollowResponse{
+		Leads: true, Term: uint64(term), AgeMs: now.Sub(h.knownAt()).Milliseconds(), LeaseVersion: h.leaseVersion(),
+	}
 	raw, rev := h.view.Config()
 	if out.ConfigRev = rev; rev > req.GetConfigRev() {
 		out.Config = raw
@@ -241,7 +238,12 @@
 		}
 	}
 	if h.news(req, term) && h.at.Term == term {
-		out.TableVersion, out.Tables = h.at.Version, h.tables
+		known := uint64(0)
+		if topo.Term(req.GetTerm()) == term {
+			known = req.GetTableVersion()
+		}
+		out.TableVersion = h.at.Version
+		out.Tables, out.AllRanges = h.tables.since(known)
 	}
 	return out
 }
@@ -252,8 +254,18 @@
 		return
 	}
 	out.ServersRev, out.EvacuationRev = d.Rev(), d.EvacuationRev()
+	gone, known := d.GoneSince(req.GetDirectoryVersion())
+	out.Complete = !known || topo.Term(req.GetTerm()) != term
+	for _, id := range gone {
+		out.Ids = append(out.Ids, string(id))
+	}
+	if out.Complete {
+		out.Ids = nil
+	}
 	d.Servers(func(s *directory.Server) {
-		out.Ids = append(out.Ids, string(s.ID))
+		if out.Complete {
+			out.Ids = append(out.Ids, string(s.ID))
+		}
 		if s.Rev > req.GetServersRev() {
 			out.Servers = append(out.Servers, serverMessage(s, now))
 		}
--- /dev/null
+++ b/fleet/tables.go
@@ -0,0 +1,138 @@
+package fleet
+
+import (
+	"github.com/juju/errors"
+
+	"godwitlock.example/godwitlock/fleet/fleetpb"
+	"godwitlock.example/godwitlock/keyrange"
+	"godwitlock.example/godwitlock/topo"
+)
+
+// maxChanges bounds the ranges that a leader remembers for followers that lag
+// behind; others get whole tables.
+const maxChanges = 4096
+
+// tableChange is a range that changed at a version.
+type tableChange struct {
+	version uint64
+	service topo.ServiceName
+	keyrange.Range
+}
+
+// tableLog holds the tables of a leader and their last changes.
+type tableLog struct {
+	tables  map[topo.ServiceName]*keyrange.Table
+	changes []tableChange
+	// from is the oldest version after which all changes are remembered.
+	from uint64
+}
+
+func newTableLog() *tableLog { return &tableLog{} }
+
+// add records tables under a version.
+func (l *tableLog) add(version uint64, tables map[topo.ServiceName]*keyrange.Table) {
+	if l.tables == nil {
+		l.from = version
+	}
+	for name, t := range tables {
+		if l.tables != nil && l.tables[name] == nil {
+			// A follower cannot know an empty table.
+			l.changes, l.from = nil, version
+		}
+		for _, r := range t.Changed(l.tables[name]) {
+			l.changes = append(l.changes, tableChange{version, name, r})
+		}
+	}
+	l.tables = tables
+	if len(l.changes) > maxChanges {
+		cut := len(l.changes) - maxChanges/2
+		l.from = l.changes[cut-1].version
+		l.changes = append(l.changes[:0], l.changes[cut:]...)
+	}
+}
+
+// since returns the changes after a version, or whole tables.
+func (l *tableLog) since(version uint64) (tables []*fleetpb.KeyTable, all bool) {
+	if version < l.from {
+		for name, t := range l.tables {
+			tables = append(tables, keyTable(name, t.Ranges))
+		}
+		return tables, true
+	}
+	ranges := make(map[topo.ServiceName][]keyrange.Range)
+	for _, c := range l.changes {
+		if c.version > version {
+			ranges[c.service] = append(ranges[c.service], c.Range)
+		}
+	}
+	for name, list := range ranges {
+		tables = append(tables, keyTable(name, list))
+	}
+	return tables, false
+}
+
+func keyTable(name topo.ServiceName, ranges []keyrange.Range) *fleetpb.KeyTable {
+	out := &fleetpb.KeyTable{Service: string(name)}
+	index := make(map[topo.ServerID]uint32)
+	for _, r := range ranges {
+		i, ok := index[r.Server]
+		if !ok {
+			i = uint32(len(out.Owners))
+			index[r.Server] = i
+			out.Owners = append(out.Owners, string(r.Server))
+		}
+		out.First, out.Last = append(out.First, uint32(r.First)), append(out.Last, uint32(r.Last))
+		out.Owner, out.Moving = append(out.Owner, i), append(out.Moving, r.Moving)
+	}
+	return out
+}
+
+// rangesOf decodes the ranges of a message. The fences stay at the leader.
+func rangesOf(m *fleetpb.KeyTable) ([]keyrange.Range, error) {
+	n := len(m.GetFirst())
+	if len(m.GetLast()) != n || len(m.GetOwner()) != n || len(m.GetMoving()) != n {
+		return nil, errors.Errorf("key table of %q has columns of different lengths", m.GetService())
+	}
+	out := make([]keyrange.Range, 0, n)
+	for i := range n {
+		first, last, owner := m.GetFirst()[i], m.GetLast()[i], m.GetOwner()[i]
+		if first > last || last > uint32(keyrange.MaxKey) || int(owner) >= len(m.GetOwners()) {
+			return nil, errors.Errorf("key table of %q has the invalid range %d-%d", m.GetService(), first, last)
+		}
+		out = append(out, keyrange.Range{
+			First: keyrange.Key(first), Last: keyrange.Key(last),
+			Owner: keyrange.Owner{Server: topo.ServerID(m.GetOwners()[owner])}, Moving: m.GetMoving()[i],
+		})
+	}
+	return out, nil
+}
+
+// merge returns the tables of a response on top of those that a follower has.
+func merge(have map[topo.ServiceName]*keyrange.Table, resp *fleetpb.FollowResponse) (map[topo.ServiceName]*keyrange.Table, error) {
+	out := make(map[topo.ServiceName]*keyrange.Table)
+	if !resp.GetAllRanges() {
+		for name, t := range have {
+			out[name] = t
+		}
+	}
+	for _, m := range resp.GetTables() {
+		ranges, err := rangesOf(m)
+		if err != nil {
+			return nil, err
+		}
+		name := topo.ServiceName(m.GetService())
+		if resp.GetAllRanges() {
+			out[name] = &keyrange.Table{Service: name, Ranges: ranges}
+			continue
+		}
+		t := out[name]
+		if t == nil {
+			return nil, errors.Errorf("changes of an unknown key table %q", name)
+		}
+		for _, r := range ranges {
+			t = t.Overlay(r)
+		}
+		out[name] = t
+	}
+	return out, nil
+}
--- a/keyrange/table.go
+++ b/keyrange/table.go
@@ -99,6 +99,42 @@
 	return out
 }
 
+// Overlay returns a table in which the keys of r have its owner and state.
+func (t *Table) Overlay(r Range) *Table {
+	out := t.Assign(r.First, r.Last, r.Owner)
+	out.NextFence = t.NextFence
+	for i := range out.Ranges {
+		if out.Ranges[i].First == r.First && out.Ranges[i].Last == r.Last {
+			out.Ranges[i] = r
+		}
+	}
+	return out
+}
+
+// Changed returns the ranges of t that old does not have with the same owner
+// and state.
+func (t *Table) Changed(old *Table) []Range {
+	var out []Range
+	i := 0
+	for _, r := range t.Ranges {
+		if old != nil {
+			for i < len(old.Ranges) && old.Ranges[i].Last < r.Last {
+				i++
+			}
+			if i < len(old.Ranges) && sameRange(old.Ranges[i], r) {
+				continue
+			}
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// sameRange reports whether the keys of r have the same owner and state in o.
+func sameRange(o, r Range) bool {
+	return o.First <= r.First && r.Last <= o.Last && o.Server == r.Server && o.Moving == r.Moving
+}
+
 // Validate reports a table whose ranges do not cover all keys once.
 func (t *Table) Validate() error {
 	if len(t.Ranges) == 0 {
--- a/leader/lease.go
+++ b/leader/lease.go
@@ -29,6 +29,8 @@
 	// urgentInterval is the same while the lease is free or was not extended
 	// in time.
 	urgentInterval = 250 * time.Millisecond
+	// heardInterval is the same while the holder is heard.
+	heardInterval = 2 * time.Second
 	// retryInterval is the pause after a failed call.
 	retryInterval = 150 * time.Millisecond
 	// safety is subtracted from a lease for the time between the check and
@@ -118,6 +120,9 @@
 // Current returns the newest version of the lease that was seen.
 func (l *Lease) Current() Record { return l.current.Record }
 
+// Version returns the newest version of the lease that was seen.
+func (l *Lease) Version() uint64 { return l.current.Version }
+
 // Resign gives the lease back at the next step and never takes it again.
 func (l *Lease) Resign(now time.Time) {
 	l.leaving = true
@@ -197,6 +202,16 @@
 	l.next = now.Add(l.pause(now))
 }
 
+// Heard records that the holder of a term told the version of its lease. It
+// counts like a read, and saves it.
+func (l *Lease) Heard(now time.Time, term topo.Term, version uint64) {
+	if !l.known || l.current.Record.Term != term || version < l.current.Version {
+		return
+	}
+	l.Observed(now, Seen{Record: l.current.Record, Version: version})
+	l.next = now.Add(heardInterval)
+}
+
 // pause returns the time until the lease is looked at again.
 func (l *Lease) pause(now time.Time) time.Duration {
 	if _, holds := l.Holds(now); holds {
--- a/node/assigner.go
+++ b/node/assigner.go
@@ -283,7 +283,7 @@
 func pieces(m *ownership.Machine) []placement.Piece {
 	out := make([]placement.Piece, 0, len(m.Holds()))
 	for _, h := range m.Holds() {
-		p := placement.Piece{First: h.First, Last: h.Last, Owner: h.Server, Fixed: !h.Divisible()}
+		p := placement.Piece{First: h.First, Last: h.Last, Owner: h.Server, Fixed: h.Phase != ownership.Held}
 		if h.Phase != ownership.Held {
 			p.Owner = h.Target
 		}
@@ -426,7 +426,7 @@
 // single server gets all of them.
 func (a *assigner) divideLeaving(m *ownership.Machine, snap *view.Snapshot, svc *routemap.Service, l *placement.Load) {
 	for _, h := range slices.Clone(m.Holds()) {
-		if h.Divisible() && condition(snap, svc, h.Owner) == ownership.Unusable {
+		if h.Phase == ownership.Held && condition(snap, svc, h.Owner) == ownership.Unusable {
 			for _, p := range placement.Divide(l, h.First, h.Last) {
 				m.Vacate(p.First, p.Last, "")
 			}
@@ -449,9 +449,7 @@
 	for name, m := range a.machines {
 		tables[name] = m.Published()
 	}
-	if err := a.node.hub.Publish(view.TableVersion{Term: a.term, Version: a.version}, tables); err != nil {
-		a.node.log.Event("table_unpublished").Err(err).Send()
-	}
+	a.node.hub.Publish(view.TableVersion{Term: a.term, Version: a.version}, tables)
 }
 
 // loads are the loads of the keyed services. It implements fleet.Loads and is
--- a/node/lease.go
+++ b/node/lease.go
@@ -54,6 +54,20 @@
 	return d.lease.Current().Holder
 }
 
+// Version returns the version of the lease in the store.
+func (d *leaseDuty) Version() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.lease.Version()
+}
+
+// Heard records the version of the lease that the leader of a term told.
+func (d *leaseDuty) Heard(term topo.Term, version uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lease.Heard(clock.Boot(), term, version)
+}
+
 // Resign gives the lease back and never takes it again.
 func (d *leaseDuty) Resign() {
 	d.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -70,6 +70,7 @@
 	ingress  *ingress.Server
 	grpc     *grpc.Server
 	loads    *loads
+	calls    storeCalls
 
 	addresses addressBook
 	stopping  atomic.Bool
@@ -98,12 +99,14 @@
 func (n *Node) assemble() {
 	self := view.Member{VM: n.set.VM, Addr: n.set.PeerAddr, DataCentre: n.set.DataCentre}
 	boot := uuid.NewString()
+	n.calls.metrics = n.metrics
+	n.platform.CountCalls(n.calls.count)
 	n.peers = peer.NewPool(insecure.NewCredentials(), nil)
-	n.follower = fleet.NewFollower(self, boot, n.view, n.peers, n.setConfig)
 	n.lease = newLeaseDuty(n.platform.Objects(), n.platform.OwnKey("leader", "lease"),
 		leader.Identity{VM: n.set.VM, Boot: boot, Addr: n.set.PeerAddr}, n.log, n.relayStale)
+	n.follower = fleet.NewFollower(self, boot, n.view, n.peers, n.setConfig, n.lease.Heard)
 	n.loads = newLoads(n.view)
-	n.hub = fleet.NewHub(n.view, self, n.lease.Leads, n.knownAt, n.loads)
+	n.hub = fleet.NewHub(n.view, self, n.lease.Leads, n.lease.Version, n.view.Confirmed, n.loads)
 	n.watching = n.watchers()
 	n.reports = newReports(n.set.VM, n.metrics)
 	n.egress = egress.New(n.platform.ServerHeaders())
@@ -188,17 +191,6 @@
 	return leads || n.relayStale()
 }
 
-// knownAt returns the time up to which this VM knows the store by itself.
-func (n *Node) knownAt() time.Time {
-	oldest := clock.Boot()
-	for _, w := range n.watching {
-		if at := w.KnownAt(); at.Before(oldest) {
-			oldest = at
-		}
-	}
-	return oldest
-}
-
 // poolServers returns the servers of a pool of slots.
 func (n *Node) poolServers(pool string) []permit.Server { return poolServers(n.view.Snapshot(), pool) }
 
@@ -284,6 +276,7 @@
 	for ctx.Err() == nil {
 		pause(ctx, sweepInterval)
 		n.egress.Sweep()
+		n.calls.tell(n.log)
 	}
 	return ctx.Err()
 }
--- a/node/watch.go
+++ b/node/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -15,9 +14,13 @@
 )
 
 const (
-	// watchWait is how long a watch waits for changes. A watch that went
-	// silent is noticed a little later, within the bounds of the deployment.
-	watchWait = 1500 * time.Millisecond
+	// configWait is how long a watch of the configuration waits for changes.
+	// Each answer renews the right to accept caller keys; two of them pass
+	// well within the time that a withdrawn key may still work.
+	configWait = 700 * time.Millisecond
+	// watchWait is the same for what needs no renewal. A watch that went
+	// silent is noticed a little later.
+	watchWait = 2 * time.Second
 	// watchPause is the least time between two watches: changes of a moment
 	// come in one answer.
 	watchPause = 80 * time.Millisecond
@@ -47,16 +50,7 @@
 	advance func(rev topo.Revision, at time.Time)
 	// returned is told that the store answers again after an outage.
 	returned func(time.Time)
-
-	mu    sync.Mutex
-	known time.Time
-}
-
-// KnownAt returns the time up to which the objects are known.
-func (w *watcher) KnownAt() time.Time {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.known
+	wait     time.Duration
 }
 
 // Run watches until ctx ends.
@@ -108,9 +102,6 @@
 		}
 	}
 	w.advance(rev, sent)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.known = sent
 }
 
 func (w *watcher) list(ctx context.Context) (topo.Revision, error) {
@@ -125,7 +116,7 @@
 }
 
 func (w *watcher) watch(ctx context.Context, rev topo.Revision) (topo.Revision, error) {
-	c, err := w.objects.Watch(ctx, w.prefix, rev, watchWait)
+	c, err := w.objects.Watch(ctx, w.prefix, rev, w.wait)
 	if err != nil {
 		return rev, err
 	}
@@ -174,8 +165,9 @@
 	evacuations := n.evacuationWatcher(prefixes.Evacuations)
 	list := []*watcher{config, servers, evacuations}
 	for _, w := range list {
-		w.objects, w.needed, w.log = objects, n.needsStore, n.log
+		w.objects, w.needed, w.log, w.wait = objects, n.needsStore, n.log, watchWait
 	}
+	config.wait = configWait
 	return list
 }
 
--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -98,7 +98,6 @@
 	handover          string
 	// nextOwner is set while Storing.
 	nextOwner keyrange.Owner
-	id        uint64
 }
 
 // OrderKind is the kind of an Order.
@@ -119,7 +118,11 @@
 	// HoldTime and Handover are for grants.
 	HoldTime time.Duration
 	Handover string
-	hold     uint64
+}
+
+// concerns reports whether the order was sent for the keys of a hold.
+func (o Order) concerns(h *Hold) bool {
+	return h.Owner == o.Owner && h.Fence == o.Fence && o.First <= h.First && h.Last <= o.Last
 }
 
 // Outcome is what became of an order.
@@ -142,7 +145,6 @@
 	table    *keyrange.Table
 	version  uint64
 	holds    []*Hold
-	nextID   uint64
 	storing  *keyrange.Table
 	holdTime time.Duration
 	// changes counts what is worth telling other VMs.
@@ -158,7 +160,7 @@
 	}
 	end := start.Add(m.longest() + transit)
 	for _, r := range table.Ranges {
-		m.add(&Hold{Range: r, Phase: Held, bound: end, unanswered: end})
+		m.holds = append(m.holds, &Hold{Range: r, Phase: Held, bound: end, unanswered: end})
 	}
 	return m
 }
@@ -168,12 +170,6 @@
 	return time.Duration(float64(m.holdTime) * (1 + MaxDrift))
 }
 
-func (m *Machine) add(h *Hold) {
-	m.nextID++
-	h.id = m.nextID
-	m.holds = append(m.holds, h)
-}
-
 // Holds returns the holds in the order of their keys. They must not be changed.
 func (m *Machine) Holds() []*Hold { return m.holds }
 
@@ -223,23 +219,17 @@
 // one that begins with it.
 func (m *Machine) split(key keyrange.Key) {
 	for i, h := range m.holds {
-		if !h.Contains(key) || h.First == key || h.Phase != Held || h.inFlight {
+		if !h.Contains(key) || h.First == key || h.Phase != Held {
 			continue
 		}
 		right := *h
 		right.First = key
-		m.nextID++
-		right.id = m.nextID
 		h.Last = key - 1
 		m.holds = append(m.holds[:i+1], append([]*Hold{&right}, m.holds[i+1:]...)...)
 		return
 	}
 }
 
-// Divisible reports whether the hold can be divided or vacated now: no order
-// is under way.
-func (h *Hold) Divisible() bool { return h.Phase == Held && !h.inFlight }
-
 // Assign gives the keys of a free hold to an owner, unless a write of the table
 // is in progress. The caller then stores the table returned by Pending.
 func (m *Machine) Assign(h *Hold, owner keyrange.Owner) bool {
@@ -256,7 +246,7 @@
 		return
 	}
 	for _, r := range ranges {
-		m.add(&Hold{Range: r, Phase: Storing, nextOwner: r.Owner})
+		m.holds = append(m.holds, &Hold{Range: r, Phase: Storing, nextOwner: r.Owner})
 	}
 }
 
@@ -289,8 +279,7 @@
 		}
 		r, _ := m.table.Find(h.First)
 		r.First, r.Last = h.First, h.Last
-		m.nextID++
-		*h = Hold{Range: r, Phase: Held, handover: h.handover, id: m.nextID}
+		*h = Hold{Range: r, Phase: Held, handover: h.handover}
 	}
 	m.changes++
 }
@@ -339,13 +328,13 @@
 	h.inFlight = true
 	return Order{
 		Kind: Grant, Owner: h.Owner, First: h.First, Last: h.Last, Fence: h.Fence,
-		HoldTime: m.holdTime, Handover: h.handover, hold: h.id,
+		HoldTime: m.holdTime, Handover: h.handover,
 	}
 }
 
 func (m *Machine) release(h *Hold) Order {
 	h.inFlight = true
-	return Order{Kind: Release, Owner: h.Owner, First: h.First, Last: h.Last, Fence: h.Fence, hold: h.id}
+	return Order{Kind: Release, Owner: h.Owner, First: h.First, Last: h.Last, Fence: h.Fence}
 }
 
 func (m *Machine) free(h *Hold, handover string) {
@@ -357,7 +346,7 @@
 // answer of a release.
 func (m *Machine) Result(now time.Time, o Order, outcome Outcome, handover string) {
 	for _, h := range m.holds {
-		if h.id != o.hold {
+		if !h.inFlight || !o.concerns(h) {
 			continue
 		}
 		h.inFlight = false
@@ -366,7 +355,6 @@
 		} else {
 			m.releaseResult(now, h, outcome, handover)
 		}
-		return
 	}
 }
 
@@ -374,12 +362,13 @@
 	switch outcome {
 	case Done:
 		h.bound = now.Add(m.longest())
-		h.next, h.failures, h.handover = now.Add(RenewInterval), 0, ""
+		h.next, h.failures, h.handover = now.Add(renewAfter(h)), 0, ""
 		if !h.Granted {
 			h.Granted = true
 			m.changes++
 		}
 	case Rejected:
+		h.next = now
 		// Only an order of a later leader carries a higher fence. Should there
 		// be none, the keys get a new fence at the same server.
 		if h.Phase == Held {
@@ -394,6 +383,16 @@
 		h.bound = now.Add(m.longest() + transit)
 		h.unanswered = h.bound
 	}
+	if h.Phase == Vacating {
+		h.next = now
+	}
+}
+
+// renewAfter spreads the renewals of many holds over the interval.
+func renewAfter(h *Hold) time.Duration {
+	const parts = 16
+	part := time.Duration(uint32(h.First)*2654435761>>28) % parts
+	return RenewInterval - part*RenewInterval/(4*parts)
 }
 
 func (m *Machine) releaseResult(now time.Time, h *Hold, outcome Outcome, handover string) {
--- a/permit/pool.go
+++ b/permit/pool.go
@@ -280,9 +280,10 @@
 	return best
 }
 
-// farCost is what a server in another data centre counts more: two crossings
-// of the response and of the request.
-const farCost = 1.1
+// farCost is what a server in another data centre counts more. Pooled services
+// send long answers, whose bytes between data centres are dear; a request goes
+// far when the near servers are busy or much slower.
+const farCost = 3
 
 // cost is the expected time of a request at a server, in seconds.
 func (s *server) cost(now time.Time, r Request) float64 {
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"godwitlock.example/godwitlock/keyrange"
@@ -9,16 +10,21 @@
 )
 
 const (
-	// high is the utilisation from which keys move away from a server: above
-	// it requests wait for slots. target is what moves aim at.
-	high, target = 0.65, 0.45
-	// highRatio and targetRatio are the same relative to the mean utilisation,
-	// when that is high itself.
-	highRatio, targetRatio = 1.5, 1.1
+	// fullLoad is the utilisation from which waits are taken as growing in
+	// proportion to the excess, by overloadWait seconds for each unit.
+	fullLoad, overloadWait = 0.9, 6.0
+	// minGain is the least part of its expected time that a moved request has
+	// to gain. Measured times scatter by about that much.
+	minGain = 0.2
+	// minLoad is the least load worth moving, in requests per second.
+	minLoad = 0.3
 	// maxMoves bounds the moves of one plan, maxMoving those under way.
 	maxMoves, maxMoving = 6, 16
-	// coldShare is the part of a cold server's bound that its keys may bring.
-	coldShare = 0.6
+	// givers and takers bound the servers that a plan compares.
+	givers, takers = 6, 4
+	// coldShare is the part of a cold server's bound that its keys may bring,
+	// and coldWork how much longer work takes there.
+	coldShare, coldWork = 0.6, 2
 	// pieces is the number of parts in which a leaving server's keys move, so
 	// that no single server gets all of them.
 	pieces = 3
@@ -53,17 +59,33 @@
 // share is a server's part of the load.
 type share struct {
 	Server
-	// capacity is the requests per second that the server can do, load what
-	// its keys bring.
-	capacity, load float64
-	keys           int
+	// work is the mean time of work in seconds; load what its keys bring, in
+	// requests per second.
+	work, load float64
+	keys       int
+}
+
+// time returns the expected time of a request, in seconds, when the server's
+// keys bring the given load: work, and the wait for one of its slots (the
+// approximation of Sakasegawa for a queue with several servers).
+func (s *share) time(load float64) float64 {
+	slots := float64(s.Slots)
+	capacity := slots / s.work
+	if s.ColdRate > 0 {
+		capacity = min(capacity, s.ColdRate*coldShare)
+	}
+	use := load / capacity
+	over := max(0, use-fullLoad)
+	use = min(use, fullLoad)
+	wait := math.Pow(use, math.Sqrt(2*(slots+1))-1) / (slots * (1 - use))
+	return s.work*(1+wait) + over*overloadWait
 }
 
-// utilisation is the part of the capacity that is in use.
-func (s *share) utilisation() float64 { return s.load / s.capacity }
+// cost is the sum of the expected times of a second's requests.
+func (s *share) cost(load float64) float64 { return load * s.time(load) }
 
-// room is the load that the server may take on up to a utilisation.
-func (s *share) room(level float64) float64 { return level*s.capacity - s.load }
+// marginal is what one more request per second costs.
+func (s *share) marginal() float64 { return s.cost(s.load+1) - s.cost(s.load) }
 
 // state is the load of all servers.
 type state struct {
@@ -71,40 +93,27 @@
 	all   []*share
 	byID  map[topo.ServerID]*share
 	table []Piece
-	// mean is the mean utilisation.
-	mean float64
 }
 
 func newState(load *Load, servers []Server, table []Piece) *state {
 	st := &state{load: load, byID: make(map[topo.ServerID]*share, len(servers)), table: table}
-	total, capacity := 0.0, 0.0
 	for _, s := range servers {
-		sh := &share{Server: s, capacity: float64(s.Slots) / load.Work(s.ID)}
+		sh := &share{Server: s, work: load.Work(s.ID)}
 		if s.ColdRate > 0 {
-			sh.capacity = min(sh.capacity, s.ColdRate*coldShare)
+			sh.work *= coldWork
 		}
-		capacity += sh.capacity
 		st.byID[s.ID] = sh
 		st.all = append(st.all, sh)
 	}
 	for _, p := range table {
-		l := load.Between(p.First, p.Last)
-		total += l
 		if sh := st.byID[p.Owner]; sh != nil {
-			sh.load += l
+			sh.load += load.Between(p.First, p.Last)
 			sh.keys += p.width()
 		}
 	}
-	if capacity > 0 {
-		st.mean = total / capacity
-	}
 	return st
 }
 
-// high and target are the levels of utilisation in force.
-func (st *state) high() float64   { return max(high, highRatio*st.mean) }
-func (st *state) target() float64 { return max(target, targetRatio*st.mean) }
-
 // sorted returns the servers by decreasing key, ties by id.
 func (st *state) sorted(key func(*share) float64) []*share {
 	list := slices.Clone(st.all)
@@ -141,13 +150,13 @@
 	return out
 }
 
-// Target chooses the server for keys that have no owner: the one that is left
-// with the most room, by its share of the capacity and of the keys.
+// Target chooses the server for keys that have no owner: the one where they
+// cost least, and of those the one with the fewest keys.
 func Target(load *Load, servers []Server, table []Piece, first, last keyrange.Key) (topo.ServerID, bool) {
 	st := newState(load, servers, table)
 	moved := load.Between(first, last)
 	best := st.sorted(func(s *share) float64 {
-		return -(s.load+moved)/s.capacity - float64(s.keys)/keyrange.Keys
+		return s.cost(s.load) - s.cost(s.load+moved) - float64(s.keys)/keyrange.Keys
 	})
 	if len(best) == 0 {
 		return "", false
@@ -171,8 +180,9 @@
 	return append(out, Piece{First: first, Last: last})
 }
 
-// Plan returns moves that take load off servers that have too much, and give
-// keys to servers that have none.
+// Plan returns moves that make the expected times of requests shorter: away
+// from servers that are slow or have much load. Servers that have no keys get
+// some.
 func Plan(load *Load, servers []Server, table []Piece) []Move {
 	moving := 0
 	for _, p := range table {
@@ -198,22 +208,24 @@
 	if m, ok := st.fillEmpty(); ok {
 		return m, true
 	}
-	targets := st.sorted(func(s *share) float64 { return s.room(st.target()) })
-	for _, from := range st.sorted((*share).utilisation) {
-		if from.utilisation() < st.high() {
-			return Move{}, false
-		}
-		for _, to := range targets[:min(3, len(targets))] {
-			want := min(-from.room(st.target()), to.room(st.target()))
-			if to.ID == from.ID || want <= 0 {
+	from := st.sorted((*share).marginal)
+	to := st.sorted(func(s *share) float64 { return -s.marginal() })
+	var best Move
+	bestGain := 0.0
+	for _, f := range from[:min(givers, len(from))] {
+		for _, t := range to[:min(takers, len(to))] {
+			if f.ID == t.ID || f.marginal() <= t.marginal() {
 				continue
 			}
-			if m, ok := st.shed(from, to, want); ok {
-				return m, true
+			for _, part := range []float64{2, 4, 8} {
+				m, gain := st.shed(f, t, f.load/part)
+				if gain > bestGain {
+					best, bestGain = m, gain
+				}
 			}
 		}
 	}
-	return Move{}, false
+	return best, bestGain > 0
 }
 
 // fillEmpty gives keys to a server that has none.
@@ -222,53 +234,48 @@
 		if to.keys > 0 {
 			continue
 		}
-		for _, from := range st.sorted((*share).utilisation) {
+		for _, from := range st.sorted((*share).marginal) {
 			if from.ID == to.ID || from.keys == 0 {
 				continue
 			}
-			if m, ok := st.shed(from, to, min(st.mean*to.capacity, from.load/2)); ok {
-				return m, true
+			want := from.load / 2
+			if to.ColdRate > 0 {
+				want = min(want, to.ColdRate*coldShare)
+			}
+			for _, p := range st.table {
+				if p.Owner != from.ID || p.Fixed || p.width() < 2 {
+					continue
+				}
+				if end, _ := st.load.Cut(p.First, p.Last, want); end < p.Last {
+					return Move{First: p.First, Last: end, Target: to.ID}, true
+				}
 			}
 		}
 	}
 	return Move{}, false
 }
 
-// shed cuts keys with about the wanted load off one of the server's pieces.
-// Of those that fit, it takes the part with the fewest keys.
-func (st *state) shed(from, to *share, want float64) (Move, bool) {
+// shed returns the best move of about the wanted load from one server to
+// another, and what it gains in a second, in seconds; 0 when none helps.
+func (st *state) shed(from, to *share, want float64) (Move, float64) {
 	var best Move
-	width := 0
+	bestGain := 0.0
+	before := from.cost(from.load) + to.cost(to.load)
 	for _, p := range st.table {
 		if p.Owner != from.ID || p.Fixed || p.width() < 2 {
 			continue
 		}
 		for _, m := range st.candidates(p, want) {
-			got := st.load.Between(m.First, m.Last)
-			if !fits(from, to, got, want) {
+			moved := st.load.Between(m.First, m.Last)
+			gain := before - from.cost(from.load-moved) - to.cost(to.load+moved)
+			if moved < minLoad || gain < minGain*moved*from.time(from.load) || gain <= bestGain {
 				continue
 			}
-			if w := int(m.Last) - int(m.First) + 1; width == 0 || w < width {
-				best, width = m, w
-			}
+			best, bestGain = m, gain
 		}
 	}
 	best.Target = to.ID
-	return best, width > 0
-}
-
-// fits reports whether moving a load helps: it is not much less than wanted,
-// and the server that takes it is left with a lower utilisation than the one
-// that gives it had.
-func fits(from, to *share, got, want float64) bool {
-	if got < want*0.3 {
-		return false
-	}
-	after := (to.load + got) / to.capacity
-	if to.ColdRate > 0 && after > 1.3 {
-		return false
-	}
-	return got <= want*1.5 || after < 0.8*from.utilisation()
+	return best, bestGain
 }
 
 // candidates returns the parts with about the wanted load at both ends of a
--- a/view/view.go
+++ b/view/view.go
@@ -155,6 +155,14 @@
 	return true
 }
 
+// KeyTables returns the tables of keys and their version. They must not be
+// changed.
+func (v *View) KeyTables() (TableVersion, map[topo.ServiceName]*keyrange.Table) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.tablesAt, v.tables
+}
+
 // Tables returns the version of the tables.
 func (v *View) Tables() TableVersion {
 	v.mu.Lock()
