ingress: refuse header names with a space; tests of both HTTP sides

Cause: net/http keeps a field name such as 'Content-Length ' (space before the colon), and it was passed on, where a server could read it as the field. Change: names and values are checked. TestSmuggledRequestsAreRefused failed first.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -7,12 +7,14 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/net/http/httpguts"
 
 	"godwitlock.example/godwitlock/call"
 )
@@ -241,6 +243,13 @@
 	if hr.ProtoMajor != 1 || hr.Host == "" || hr.URL.Path == "" || hr.URL.Path[0] != '/' || hr.URL.IsAbs() {
 		return nil, plain(http.StatusBadRequest)
 	}
+	for name, values := range hr.Header {
+		// net/http leaves names with a space in place, which others may read
+		// as the field without it.
+		if !httpguts.ValidHeaderFieldName(name) || slices.ContainsFunc(values, invalidValue) {
+			return nil, plain(http.StatusBadRequest)
+		}
+	}
 	now := time.Now()
 	req := &Request{
 		ID: hr.Header.Get(h.RequestID), Method: hr.Method, URI: hr.RequestURI, Path: hr.URL.Path, Host: hr.Host,
@@ -267,6 +276,8 @@
 	return req, nil
 }
 
+func invalidValue(v string) bool { return !httpguts.ValidHeaderFieldValue(v) }
+
 // readBody reads a short body whole and leaves a long one to be streamed.
 func (c *conn) readBody(req *Request, hr *http.Request, limits Limits) (*Request, *Answer, error) {
 	closeAfter := hr.Close || !hr.ProtoAtLeast(1, 1)
--- /dev/null
+++ b/ingress/ingress_test.go
@@ -0,0 +1,225 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var testHeaders = Headers{RequestID: "Request-Id", DeadlineMS: "Deadline-Ms", CallerKey: "Caller-Key", Key: "Key"}
+
+// serve starts a server on loopback and returns a connection to it.
+func serve(t *testing.T, limits Limits, h Handler) (*Server, net.Conn) {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := NewServer(testHeaders, h, func() Limits { return limits })
+	go func() { _ = s.Serve(lis) }()
+	nc, err := net.Dial("tcp", lis.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = nc.Close(); _ = lis.Close() })
+	return s, nc
+}
+
+func send(t *testing.T, nc net.Conn, text string) {
+	t.Helper()
+	_, err := io.WriteString(nc, text)
+	require.NoError(t, err)
+}
+
+func receive(t *testing.T, br *bufio.Reader) (*http.Response, string) {
+	t.Helper()
+	resp, err := http.ReadResponse(br, nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return resp, string(body)
+}
+
+func answer(status int, body string) *Answer { return &Answer{Status: status, Body: []byte(body)} }
+
+func echo(_ context.Context, r *Request) *Answer { return answer(200, r.Method+" "+r.URI+" "+string(r.Body)) }
+
+// Guards against pipelined requests that run one after the other, and against
+// answers out of order: the first request waits for the second.
+func TestPipelinedRequestsRunSideBySide(t *testing.T) {
+	second := make(chan struct{})
+	_, nc := serve(t, Limits{}, func(ctx context.Context, r *Request) *Answer {
+		if r.URI == "/1" {
+			<-second
+		} else {
+			close(second)
+		}
+		return answer(200, r.URI)
+	})
+	send(t, nc, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+	br := bufio.NewReader(nc)
+	_, body := receive(t, br)
+	require.Equal(t, "/1", body)
+	_, body = receive(t, br)
+	require.Equal(t, "/2", body)
+}
+
+// Guards against a caller key or a changed target that reaches the handler's
+// headers.
+func TestRequestIsTakenApart(t *testing.T) {
+	got := make(chan *Request, 1)
+	_, nc := serve(t, Limits{}, func(_ context.Context, r *Request) *Answer {
+		got <- r
+		return answer(200, "")
+	})
+	send(t, nc, "GET /a%2Fb/?q=%20x HTTP/1.1\r\nHost: h:80\r\nCaller-Key: secret\r\nRequest-Id: r1\r\nDeadline-Ms: 500\r\nKey: 65535\r\nConnection: close, x-hop\r\nX-Hop: 1\r\nX-End: 2\r\n\r\n")
+	r := <-got
+	require.Equal(t, "/a%2Fb/?q=%20x", r.URI)
+	require.Equal(t, "secret", r.CallerKey)
+	require.Equal(t, uint16(65535), r.Key)
+	require.True(t, r.HasKey)
+	require.WithinDuration(t, r.Arrived.Add(500*time.Millisecond), r.Deadline, time.Millisecond)
+	require.NotContains(t, r.Header, "Caller-Key")
+	require.NotContains(t, r.Header, "X-Hop")
+	require.Equal(t, []string{"2"}, r.Header["X-End"])
+}
+
+// Guards against work that goes on after its caller has left, also behind the
+// last request of a connection.
+func TestCallerThatLeavesEndsTheContext(t *testing.T) {
+	for _, last := range []string{"", "Connection: close\r\n"} {
+		started, gone := make(chan struct{}), make(chan struct{})
+		_, nc := serve(t, Limits{}, func(ctx context.Context, _ *Request) *Answer {
+			close(started)
+			<-ctx.Done()
+			close(gone)
+			return answer(200, "")
+		})
+		send(t, nc, "GET / HTTP/1.1\r\nHost: h\r\n"+last+"\r\n")
+		<-started
+		require.NoError(t, nc.Close())
+		<-gone
+	}
+}
+
+// Guards against requests hidden in another one's body.
+func TestSmuggledRequestsAreRefused(t *testing.T) {
+	for name, text := range map[string]string{
+		"two lengths":        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nContent-Length: 40\r\n\r\nabcd",
+		"bad length":         "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: +4\r\n\r\nabcd",
+		"unknown coding":     "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+		"space before colon": "GET / HTTP/1.1\r\nHost: h\r\nContent-Length : 4\r\n\r\n",
+		"no host":            "GET / HTTP/1.1\r\n\r\n",
+		"bad chunk":          "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabcd\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, nc := serve(t, Limits{}, echo)
+			send(t, nc, text)
+			resp, _ := receive(t, bufio.NewReader(nc))
+			require.GreaterOrEqual(t, resp.StatusCode, 400)
+			require.Less(t, resp.StatusCode, 600)
+			require.True(t, resp.Close)
+		})
+	}
+}
+
+// Guards against requests beyond the limits, and against limits that refuse
+// what is allowed.
+func TestLimits(t *testing.T) {
+	limits := Limits{HeaderBytes: 1 << 10, BodyBytes: 100 << 10}
+	for _, c := range []struct {
+		name, text string
+		status     int
+	}{
+		{"body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n0123456789", 200},
+		{"long body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n", 413},
+		{"long chunks", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" +
+			"fff0\r\n" + strings.Repeat("x", 0xfff0) + "\r\n", 200},
+		{"long head", "GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 20<<10) + "\r\n\r\n", 431},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, nc := serve(t, limits, func(_ context.Context, r *Request) *Answer { return answer(200, "") })
+			go func() {
+				_, _ = io.WriteString(nc, c.text)
+				if c.name == "long chunks" {
+					_, _ = io.WriteString(nc, "0\r\n\r\n")
+				}
+			}()
+			resp, _ := receive(t, bufio.NewReader(nc))
+			require.Equal(t, c.status, resp.StatusCode)
+		})
+	}
+}
+
+// brokenBody fails after some bytes.
+type brokenBody struct{ sent bool }
+
+func (b *brokenBody) Read(p []byte) (int, error) {
+	if b.sent {
+		return 0, io.ErrUnexpectedEOF
+	}
+	b.sent = true
+	return copy(p, "half"), nil
+}
+func (b *brokenBody) Close() error { return nil }
+
+// Guards against an answer that ends early and looks complete.
+func TestBrokenAnswerIsVisiblyIncomplete(t *testing.T) {
+	for _, length := range []int64{-1, 100} {
+		_, nc := serve(t, Limits{}, func(context.Context, *Request) *Answer {
+			return &Answer{Status: 200, Stream: &brokenBody{}, Length: length}
+		})
+		send(t, nc, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+		require.NoError(t, err)
+		_, err = io.ReadAll(resp.Body)
+		require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	}
+}
+
+// Guards against a stop that cuts requests: while draining, a request that was
+// sent is answered, and its connection closes.
+func TestDrainAnswersAndCloses(t *testing.T) {
+	s, nc := serve(t, Limits{}, echo)
+	br := bufio.NewReader(nc)
+	send(t, nc, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+	resp, _ := receive(t, br)
+	require.False(t, resp.Close)
+	s.Drain()
+	send(t, nc, "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+	resp, _ = receive(t, br)
+	require.True(t, resp.Close)
+	_, err := br.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
+
+// Guards against idle connections that outlive a stop.
+func TestCloseIdle(t *testing.T) {
+	s, nc := serve(t, Limits{}, echo)
+	br := bufio.NewReader(nc)
+	send(t, nc, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+	receive(t, br)
+	for s.Open() > 0 {
+		s.CloseIdle()
+		time.Sleep(time.Millisecond)
+	}
+	_, err := br.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
+
+// Guards against input that crashes or wedges the parser.
+func FuzzRequests(f *testing.F) {
+	f.Add("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	f.Add("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\nGET / HTTP/1.1\r\n\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		s := NewServer(testHeaders, echo, func() Limits { return Limits{} })
+		client, server := net.Pipe()
+		c := newConn(s, server)
+		go func() { _, _ = io.WriteString(client, text); _ = client.Close() }()
+		go func() { _, _ = io.Copy(io.Discard, client) }()
+		c.serve()
+	})
+}
