permit: keep a server's slots when it refuses with room; retry budget as the deployment states it

Change: only a refusal that the server's load explains lowers the limit; the budget is share x requests + slack (share used 0.70 -> 0.85). Test: TestRefusalsWithRoomKeepTheSlots (the limit fell to 1 before).

--- a/execution/attempts.go
+++ b/execution/attempts.go
@@ -100,9 +100,9 @@
 // Budget limits the retries of one service. The zero value is ready and uses
 // BudgetShare and MinRetries. It is not safe for concurrent use.
 type Budget struct {
-	// Share is the share of recent requests that may be retries, and Min is
-	// how many the window allows in any case. 0 means the default.
-	Share, Min float64
+	// Share is the share of recent requests that may be retries, and Slack is
+	// how many more the window allows. A Share of 0 means the defaults.
+	Share, Slack float64
 
 	start   time.Time
 	buckets [budgetBuckets]budgetCount
@@ -136,14 +136,10 @@
 
 // allowed returns how many retries the window allows.
 func (b *Budget) allowed(requests int) float64 {
-	share, least := b.Share, b.Min
-	if share == 0 {
-		share = BudgetShare
+	if b.Share == 0 {
+		return max(MinRetries, BudgetShare*float64(requests))
 	}
-	if least == 0 {
-		least = MinRetries
-	}
-	return max(least, share*float64(requests))
+	return b.Share*float64(requests) + b.Slack
 }
 
 // bucket returns the counts of the current second.
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -283,13 +283,19 @@
 		if resp.Status == http.StatusMisdirectedRequest {
 			res.outcome = NotOwner
 		}
-		server.slot.Finish(permit.Result{Shed: res.outcome == Shed})
+		server.slot.Finish(permit.Result{Full: res.outcome == Shed && full(resp)})
 		return res
 	}
 	f.readAnswer(ctx, r, server, res)
 	return res
 }
 
+// full reports whether a server that refused a request has no room. Without
+// its word on its load it is taken to have none.
+func full(resp *egress.Response) bool {
+	return !resp.HasLoad || resp.Load.Waiting > 0 || resp.Load.Running >= resp.Load.Slots
+}
+
 // failed turns an exchange without an answer into a result.
 func failed(err error) *result {
 	var fail *egress.Failure
--- a/forward/budgets.go
+++ b/forward/budgets.go
@@ -31,7 +31,7 @@
 		x = &execution.Budget{Share: b.share}
 		b.list[name] = x
 	}
-	x.Min = b.slack()
+	x.Slack = b.slack()
 	return x
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -47,7 +47,7 @@
 	fallbackDivisor = 4
 	// retrySlackUsed is the part of the allowed retries that is divided among
 	// the VMs, and retryShareUsed the part of the allowed share.
-	retrySlackUsed, retryShareUsed = 0.6, 0.7
+	retrySlackUsed, retryShareUsed = 0.5, 0.85
 	// sweepInterval is the time between two searches for idle connections.
 	sweepInterval = time.Second
 )
@@ -134,7 +134,7 @@
 
 // retrySlack is this VM's part of the retries that are allowed in any case.
 func (n *Node) retrySlack() float64 {
-	return max(1, n.set.Bounds.RetrySlack*retrySlackUsed/float64(max(1, len(n.view.Snapshot().Members))))
+	return (n.set.Bounds.RetrySlack * retrySlackUsed / float64(max(1, len(n.view.Snapshot().Members))))
 }
 
 // callerLimits returns the limits of the configuration in force.
--- a/permit/pool.go
+++ b/permit/pool.go
@@ -68,8 +68,10 @@
 	// Work is the time from sending to the end of the answer's head; 0 when
 	// there was no answer.
 	Work time.Duration
-	// Shed says that the server refused the request without running it.
-	Shed bool
+	// Full says that the server refused the request without running it
+	// because it has no room. A refusal for another reason says nothing about
+	// the number of requests that it can do.
+	Full bool
 	// Failed says that the server could not be reached or did not answer.
 	Failed bool
 }
--- a/permit/pool_test.go
+++ b/permit/pool_test.go
@@ -162,6 +162,21 @@
 	require.Equal(t, Refused, p.Offer(now, request(2, now)).Verdict)
 }
 
+// Guards against a server that refuses some requests at random, with room for
+// them, and loses its slots for it.
+func TestRefusalsWithRoomKeepTheSlots(t *testing.T) {
+	p := newPool(Server{ID: "s", Slots: 6})
+	for id := uint64(1); id <= 40; id++ {
+		require.Equal(t, Granted, p.Offer(start, request(id, start)).Verdict)
+		p.Finish(start, id, Result{})
+	}
+	for id := uint64(100); id < 106; id++ {
+		require.Equal(t, Granted, p.Offer(start, request(id, start)).Verdict)
+	}
+	p.Finish(start, 100, Result{Full: true})
+	require.Equal(t, Queued, p.Offer(start, request(200, start)).Verdict)
+}
+
 // Guards against slots that stay taken after their holder died.
 func TestLeaseFreesASlot(t *testing.T) {
 	p := newPool(Server{ID: "s", Slots: 1})
--- a/permit/server.go
+++ b/permit/server.go
@@ -125,7 +125,7 @@
 	switch {
 	case r.Failed:
 		s.failures++
-	case r.Shed:
+	case r.Full:
 		s.failures = 0
 		s.limit = max(1, s.limit-shedStep)
 	case r.Work > 0:
