ownership: tell routers of keys that wait for the end of a hold; refuse their requests at once

Cause: requests for keys of a server that answers no release waited 0.6 s for an owner that comes seconds later, and were refused then. Change: published ranges carry a state; Orphaned keys are refused at once.

--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -82,7 +82,7 @@
 			out.Owners = append(out.Owners, string(r.Server))
 		}
 		out.First, out.Last = append(out.First, uint32(r.First)), append(out.Last, uint32(r.Last))
-		out.Owner, out.Moving = append(out.Owner, i), append(out.Moving, r.Moving)
+		out.Owner, out.State = append(out.Owner, i), append(out.State, uint32(r.State))
 	}
 	return out
 }
@@ -90,18 +90,18 @@
 // rangesOf decodes the ranges of a message. The fences stay at the leader.
 func rangesOf(m *fleetpb.KeyTable) ([]keyrange.Range, error) {
 	n := len(m.GetFirst())
-	if len(m.GetLast()) != n || len(m.GetOwner()) != n || len(m.GetMoving()) != n {
+	if len(m.GetLast()) != n || len(m.GetOwner()) != n || len(m.GetState()) != n {
 		return nil, errors.Errorf("key table of %q has columns of different lengths", m.GetService())
 	}
 	out := make([]keyrange.Range, 0, n)
 	for i := range n {
-		first, last, owner := m.GetFirst()[i], m.GetLast()[i], m.GetOwner()[i]
-		if first > last || last > uint32(keyrange.MaxKey) || int(owner) >= len(m.GetOwners()) {
+		first, last, owner, state := m.GetFirst()[i], m.GetLast()[i], m.GetOwner()[i], m.GetState()[i]
+		if first > last || last > uint32(keyrange.MaxKey) || int(owner) >= len(m.GetOwners()) || state > uint32(keyrange.Orphaned) {
 			return nil, errors.Errorf("key table of %q has the invalid range %d-%d", m.GetService(), first, last)
 		}
 		out = append(out, keyrange.Range{
 			First: keyrange.Key(first), Last: keyrange.Key(last),
-			Owner: keyrange.Owner{Server: topo.ServerID(m.GetOwners()[owner])}, Moving: m.GetMoving()[i],
+			Owner: keyrange.Owner{Server: topo.ServerID(m.GetOwners()[owner])}, State: keyrange.State(state),
 		})
 	}
 	return out, nil
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -15,6 +15,7 @@
 	"godwitlock.example/godwitlock/egress"
 	"godwitlock.example/godwitlock/errkind"
 	"godwitlock.example/godwitlock/ingress"
+	"godwitlock.example/godwitlock/keyrange"
 	"godwitlock.example/godwitlock/permit"
 	"godwitlock.example/godwitlock/topo"
 	"godwitlock.example/godwitlock/view"
@@ -153,7 +154,7 @@
 			changed := f.View.Changed()
 			snap := f.View.Snapshot()
 			rng, ok := snap.Tables[r.service.Name].Find(r.Key)
-			if !ok || rng.Server != server || rng.Moving || snap.Usable(server) == nil {
+			if !ok || rng.Server != server || rng.State != keyrange.Owned || snap.Usable(server) == nil {
 				cancel()
 				return
 			}
@@ -219,13 +220,16 @@
 		changed := f.View.Changed()
 		snap := f.View.Snapshot()
 		rng, ok := snap.Tables[r.service.Name].Find(r.Key)
-		usable := ok && !rng.Moving && snap.Usable(rng.Server) != nil
+		if ok && rng.State == keyrange.Orphaned {
+			return "", nil, &refusal{errkind.NoOwner, f.comeBack(r), "key waits for the end of a hold"}
+		}
+		usable := ok && rng.State == keyrange.Owned && snap.Usable(rng.Server) != nil
 		if usable && (!wait || rng.Server != last) {
 			return rng.Server, snap, nil
 		}
 		if first {
 			first = false
-			f.event("await_owner", r).Str("server", string(rng.Server)).Bool("moving", rng.Moving).
+			f.event("await_owner", r).Str("server", string(rng.Server)).Uint8("state", uint8(rng.State)).
 				Bool("known", ok).Send()
 		}
 		select {
--- a/keyrange/table.go
+++ b/keyrange/table.go
@@ -35,10 +35,24 @@
 	Owner
 	// Fence orders the owners of a key: each later one has a higher fence.
 	Fence int64 `json:"fence"`
-	// Moving says that the keys are between two owners. It is not stored.
-	Moving bool `json:"moving,omitempty"`
+	// State says whether the owner runs requests. It is not stored.
+	State State `json:"-"`
 }
 
+// State tells what a router should do with requests for keys.
+type State uint8
+
+// The states.
+const (
+	// Owned keys have an owner that runs requests.
+	Owned State = iota
+	// Moving keys will have an owner in a moment.
+	Moving
+	// Orphaned keys have no owner until the hold of a server that does not
+	// answer has ended.
+	Orphaned
+)
+
 // Width returns the number of keys in the range.
 func (r Range) Width() int { return int(r.Last) - int(r.First) + 1 }
 
@@ -132,7 +146,7 @@
 
 // sameRange reports whether the keys of r have the same owner and state in o.
 func sameRange(o, r Range) bool {
-	return o.First <= r.First && r.Last <= o.Last && o.Server == r.Server && o.Moving == r.Moving
+	return o.First <= r.First && r.Last <= o.Last && o.Server == r.Server && o.State == r.State
 }
 
 // Validate reports a table whose ranges do not cover all keys once.
--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -182,7 +182,7 @@
 	out := &keyrange.Table{Service: m.table.Service, NextFence: m.table.NextFence}
 	for _, h := range m.holds {
 		r := h.Range
-		r.Moving = h.Phase != Held || !h.Granted
+		r.State = h.state()
 		if n := len(out.Ranges); n > 0 && sameOwner(out.Ranges[n-1], r) {
 			out.Ranges[n-1].Last = r.Last
 			continue
@@ -193,7 +193,18 @@
 }
 
 func sameOwner(a, b keyrange.Range) bool {
-	return a.Owner == b.Owner && a.Fence == b.Fence && a.Moving == b.Moving
+	return a.Owner == b.Owner && a.Fence == b.Fence && a.State == b.State
+}
+
+// state is what routers are told of a hold.
+func (h *Hold) state() keyrange.State {
+	switch {
+	case h.Phase == Held && h.Granted:
+		return keyrange.Owned
+	case h.Phase == Vacating && h.failures > 0:
+		return keyrange.Orphaned
+	}
+	return keyrange.Moving
 }
 
 // Vacate takes the keys from first to last away from their owners. Target may
@@ -405,8 +416,13 @@
 		// An earlier order may still be carried out.
 		h.next = h.unanswered
 		h.bound = h.unanswered
+		h.failures++
+		m.changes++
 		return
 	}
+	if h.failures++; h.failures == 1 {
+		m.changes++
+	}
 	h.next = now.Add(releaseRetry)
 	if h.bound.Before(h.next) {
 		h.next = h.bound
