quota: a token bucket at each customer's home VM; homes looked up lazily; calls to the leader paced by the fleet's size

Every change of a table also ranked all VMs for all servers on every VM. Change: a customer's tokens are kept by its home VM, which other VMs ask per request; no tokens lie at other VMs. Ledger and purse go. Small VMs leave a free lease to larger ones.

--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -36,6 +36,8 @@
 
 	mu    sync.Mutex
 	heard time.Time
+	// sent is when the last request was sent that the leader answered.
+	sent  time.Time
 	known time.Time
 	// lastDirectory, lastMembers and term say what the leader told last.
 	term          topo.Term
@@ -58,6 +60,18 @@
 	return f.heard, f.known
 }
 
+// Sent returns when the last request was sent that the leader answered.
+func (f *Follower) Sent() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.sent
+}
+
+// Pace is the pause between two calls of Follow.
+func (f *Follower) Pace() time.Duration {
+	return time.Duration(len(f.view.Snapshot().Members)) * pacePerVM
+}
+
 // Follow asks the leader at addr for news once and takes them over.
 func (f *Follower) Follow(ctx context.Context, addr string, leaving bool) error {
 	conn, err := f.peers.Conn(addr)
@@ -115,7 +129,7 @@
 	f.leaseSeen(topo.Term(resp.GetTerm()), resp.GetLeaseVersion())
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.heard, f.known, f.term = now, known, topo.Term(resp.GetTerm())
+	f.heard, f.sent, f.known, f.term = now, sent, known, topo.Term(resp.GetTerm())
 	f.lastDirectory, f.lastMembers = resp.GetDirectoryVersion(), resp.GetMembersVersion()
 	return nil
 }
@@ -173,34 +187,23 @@
 	return out
 }
 
-// Report sends a report to the leader at addr and returns the tokens that it
-// brought.
-func (f *Follower) Report(ctx context.Context, addr string, req *fleetpb.ReportRequest) (map[topo.CustomerID]float64, error) {
+// Report sends a report to the leader at addr.
+func (f *Follower) Report(ctx context.Context, addr string, req *fleetpb.ReportRequest) error {
 	conn, err := f.peers.Conn(addr)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	resp, err := fleetpb.NewFleetClient(conn).Report(ctx, req)
 	if err != nil {
-		return nil, errors.Annotatef(err, "report to the leader at %s", addr)
+		return errors.Annotatef(err, "report to the leader at %s", addr)
 	}
 	if !resp.GetLeads() {
-		return nil, errors.Errorf("VM at %s does not lead", addr)
+		return errors.Errorf("VM at %s does not lead", addr)
 	}
-	return tokens(resp), nil
+	return nil
 }
 
 // ReportHere is Report on the VM that leads.
-func (h *Hub) ReportHere(req *fleetpb.ReportRequest) map[topo.CustomerID]float64 {
-	return tokens(h.report(req))
-}
-
-func tokens(resp *fleetpb.ReportResponse) map[topo.CustomerID]float64 {
-	out := make(map[topo.CustomerID]float64, len(resp.GetTokens()))
-	for id, n := range resp.GetTokens() {
-		out[topo.CustomerID(id)] = n
-	}
-	return out
-}
+func (h *Hub) ReportHere(req *fleetpb.ReportRequest) { h.report(req) }
--- a/fleet/hub.go
+++ b/fleet/hub.go
@@ -9,7 +9,6 @@
 	"godwitlock.example/godwitlock/directory"
 	"godwitlock.example/godwitlock/fleet/fleetpb"
 	"godwitlock.example/godwitlock/keyrange"
-	"godwitlock.example/godwitlock/quota"
 	"godwitlock.example/godwitlock/topo"
 	"godwitlock.example/godwitlock/view"
 )
@@ -17,6 +16,12 @@
 const (
 	// FollowWait is the longest time that a follower waits for news.
 	FollowWait = 400 * time.Millisecond
+	// pacePerVM is the pause of a follower between two answers for each VM that
+	// follows, so that the leader's work does not grow with the fleet.
+	pacePerVM = 3 * time.Millisecond
+	// collectTime is how long a new leader hears VMs before it tells their
+	// list: a call of Follow and a retry.
+	collectTime = 700 * time.Millisecond
 	// memberTTL is how long a VM counts as alive after it was heard. It
 	// leaves two calls of Follow.
 	memberTTL = 1300 * time.Millisecond
@@ -51,10 +56,13 @@
 	mu      sync.Mutex
 	members map[topo.VMID]*member
 	version uint64
-	tables  *tableLog
-	at      view.TableVersion
-	ledger  *quota.Ledger
-	changed chan struct{}
+	// collectUntil ends the time in which a new leader hears the VMs before it
+	// tells their list, so that homes do not change for a moment.
+	collectUntil time.Time
+	collected    bool
+	tables       *tableLog
+	at           view.TableVersion
+	changed      chan struct{}
 }
 
 // NewHub returns a hub.
@@ -65,31 +73,14 @@
 	}
 }
 
-// Begin starts a term with a new ledger of customers' rates.
+// Begin starts a term.
 func (h *Hub) Begin(now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.ledger = quota.NewLedger(now)
 	h.tables = newTableLog()
 	h.members = make(map[topo.VMID]*member)
 	h.version = uint64(now.UnixNano())
-	h.publishMembers()
-}
-
-// End stops the ledger.
-func (h *Hub) End() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.ledger = nil
-}
-
-// Ledger changes the ledger while this VM leads.
-func (h *Hub) Ledger(f func(*quota.Ledger)) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.ledger != nil {
-		f(h.ledger)
-	}
+	h.collectUntil, h.collected = now.Add(collectTime), false
 }
 
 // Publish puts tables in force here and at the VMs that follow.
@@ -113,13 +104,16 @@
 			gone = true
 		}
 	}
-	if gone {
+	if gone || !h.collected && now.After(h.collectUntil) {
 		h.publishMembers()
 	}
 }
 
 // publishMembers tells all VMs of the members. The lock is held.
 func (h *Hub) publishMembers() {
+	if h.collected = clock.Boot().After(h.collectUntil); !h.collected {
+		return
+	}
 	h.version++
 	h.view.SetMembers(h.version, h.list())
 	h.wake()
@@ -195,7 +189,7 @@
 
 // news reports whether tables or members have changed. The lock is held.
 func (h *Hub) news(req *fleetpb.FollowRequest, term topo.Term) bool {
-	if h.version != req.GetMembersVersion() {
+	if h.collected && h.version != req.GetMembersVersion() {
 		return true
 	}
 	known := view.TableVersion{Term: topo.Term(req.GetTerm()), Version: req.GetTableVersion()}
@@ -230,7 +224,7 @@
 	h.view.Directory(func(d *directory.Directory) { putDirectory(out, d, req, term, now) })
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if out.MembersVersion = h.version; h.version != req.GetMembersVersion() {
+	if out.MembersVersion = h.version; h.collected && h.version != req.GetMembersVersion() {
 		for _, m := range h.list() {
 			out.Members = append(out.Members, &fleetpb.Member{
 				Vm: string(m.VM), Addr: m.Addr, DataCentre: string(m.DataCentre),
@@ -286,7 +280,7 @@
 	return m
 }
 
-// report takes a VM's report and returns tokens.
+// report takes a VM's report.
 func (h *Hub) report(req *fleetpb.ReportRequest) *fleetpb.ReportResponse {
 	if _, leads := h.leads(); !leads {
 		return &fleetpb.ReportResponse{}
@@ -301,26 +295,7 @@
 	for _, w := range req.GetWork() {
 		h.loads.Answered(topo.ServerID(w.GetServer()), int(w.GetAnswers()), micros(w.GetMeanUs()))
 	}
-	return &fleetpb.ReportResponse{Leads: true, Tokens: h.exchange(req)}
-}
-
-func (h *Hub) exchange(req *fleetpb.ReportRequest) map[string]float64 {
-	reports := make([]quota.Report, 0, len(req.GetTokens()))
-	for _, t := range req.GetTokens() {
-		reports = append(reports, quota.Report{
-			Customer: topo.CustomerID(t.GetCustomer()), Held: t.GetHeld(), Asked: t.GetAsked(),
-		})
-	}
-	out := make(map[string]float64)
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.ledger == nil {
-		return out
-	}
-	for id, n := range h.ledger.Exchange(clock.Boot(), topo.VMID(req.GetVm()), millis(req.GetIntervalMs()), reports) {
-		out[string(id)] = n
-	}
-	return out
+	return &fleetpb.ReportResponse{Leads: true}
 }
 
 func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
--- /dev/null
+++ b/fleet/rates.go
@@ -0,0 +1,136 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"godwitlock.example/godwitlock/clock"
+	"godwitlock.example/godwitlock/errkind"
+	"godwitlock.example/godwitlock/fleet/fleetpb"
+	"godwitlock.example/godwitlock/peer"
+	"godwitlock.example/godwitlock/quota"
+	"godwitlock.example/godwitlock/routemap"
+	"godwitlock.example/godwitlock/topo"
+	"godwitlock.example/godwitlock/view"
+)
+
+// takeTimeout bounds the question for a token.
+const takeTimeout = 250 * time.Millisecond
+
+// Rates keeps customers within their rates. Its home part answers for the
+// customers whose home is this VM. It implements forward.Rates and is safe for
+// concurrent use.
+type Rates struct {
+	self  topo.VMID
+	view  *view.View
+	peers *peer.Pool
+
+	mu   sync.Mutex
+	home *quota.Home
+}
+
+// NewRates returns the rates of a VM.
+func NewRates(self topo.VMID, v *view.View, peers *peer.Pool) *Rates {
+	return &Rates{self: self, view: v, peers: peers, home: quota.NewHome()}
+}
+
+// customerHome names a customer for the choice of its home.
+func customerHome(id topo.CustomerID) string { return "customer/" + string(id) }
+
+// Update takes over the customers and VMs of a snapshot. Allowance tells what a
+// customer may use.
+func (r *Rates) Update(s *view.Snapshot, allowance func(*routemap.Customer) quota.Allowance) {
+	if s.Routes == nil {
+		return
+	}
+	mine := make(map[topo.CustomerID]quota.Allowance)
+	s.Routes.Customers(func(c *routemap.Customer) {
+		homes := s.Homes(customerHome(c.ID), "")
+		if c.Rate > 0 && len(homes) > 0 && homes[0].VM == r.self {
+			mine[c.ID] = allowance(c)
+		}
+	})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.home.SetCustomers(clock.Boot(), mine, len(s.Members))
+}
+
+// Heard records that the leader answered a request that was sent at a time.
+func (r *Rates) Heard(sent time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.home.Heard(sent)
+}
+
+// take takes a token here.
+func (r *Rates) take(vm topo.VMID, id topo.CustomerID) quota.Verdict {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.home.Take(clock.Boot(), vm, id)
+}
+
+// Asked records that a VM reached this one.
+func (r *Rates) Asked(vm topo.VMID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.home.Asked(clock.Boot(), vm)
+}
+
+// Take implements forward.Rates.
+func (r *Rates) Take(ctx context.Context, id topo.CustomerID) errkind.Kind {
+	homes := r.view.Snapshot().Homes(customerHome(id), "")
+	if len(homes) == 0 {
+		return errkind.NotHome
+	}
+	verdict := quota.NotHome
+	if homes[0].VM == r.self {
+		verdict = r.take(r.self, id)
+	} else if v, err := r.ask(ctx, homes[0].Addr, &fleetpb.TakeRequest{Vm: string(r.self), Customer: string(id)}); err == nil {
+		verdict = v
+	}
+	switch verdict {
+	case quota.Granted:
+		return errkind.Unset
+	case quota.Exhausted:
+		return errkind.RateExceeded
+	}
+	return errkind.NotHome
+}
+
+func (r *Rates) ask(ctx context.Context, addr string, req *fleetpb.TakeRequest) (quota.Verdict, error) {
+	conn, err := r.peers.Conn(addr)
+	if err != nil {
+		return quota.NotHome, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
+	defer cancel()
+	resp, err := fleetpb.NewFleetClient(conn).Take(ctx, req)
+	if err != nil {
+		return quota.NotHome, err
+	}
+	return quota.Verdict(resp.GetVerdict()), nil
+}
+
+// Return implements forward.Rates. It does not wait for the home.
+func (r *Rates) Return(id topo.CustomerID) {
+	homes := r.view.Snapshot().Homes(customerHome(id), "")
+	if len(homes) == 0 {
+		return
+	}
+	if homes[0].VM == r.self {
+		r.giveBack(id)
+		return
+	}
+	go func() {
+		// A token that cannot be given back stays spent.
+		_, _ = r.ask(context.Background(), homes[0].Addr,
+			&fleetpb.TakeRequest{Vm: string(r.self), Customer: string(id), GiveBack: true})
+	}()
+}
+
+func (r *Rates) giveBack(id topo.CustomerID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.home.Return(id)
+}
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -18,10 +18,23 @@
 	fleetpb.UnimplementedFleetServer
 	hub    *Hub
 	broker *broker.Broker
+	rates  *Rates
 }
 
 // NewServer returns the service of a VM.
-func NewServer(hub *Hub, b *broker.Broker) *Server { return &Server{hub: hub, broker: b} }
+func NewServer(hub *Hub, b *broker.Broker, rates *Rates) *Server {
+	return &Server{hub: hub, broker: b, rates: rates}
+}
+
+// Take implements fleetpb.FleetServer.
+func (s *Server) Take(_ context.Context, req *fleetpb.TakeRequest) (*fleetpb.TakeResponse, error) {
+	if req.GetGiveBack() {
+		s.rates.giveBack(topo.CustomerID(req.GetCustomer()))
+		return &fleetpb.TakeResponse{}, nil
+	}
+	verdict := s.rates.take(topo.VMID(req.GetVm()), topo.CustomerID(req.GetCustomer()))
+	return &fleetpb.TakeResponse{Verdict: uint32(verdict)}, nil
+}
 
 // Follow implements fleetpb.FleetServer.
 func (s *Server) Follow(ctx context.Context, req *fleetpb.FollowRequest) (*fleetpb.FollowResponse, error) {
@@ -35,6 +48,7 @@
 
 // Acquire implements fleetpb.FleetServer.
 func (s *Server) Acquire(ctx context.Context, req *fleetpb.AcquireRequest) (*fleetpb.AcquireResponse, error) {
+	s.rates.Asked(topo.VMID(req.GetVm()))
 	now := clock.Boot()
 	r := permit.Request{
 		Customer: topo.CustomerID(req.GetCustomer()), Priority: int(req.GetPriority()),
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -35,8 +35,8 @@
 
 // Rates keeps customers within their rates.
 type Rates interface {
-	// Take spends a token, waiting a moment for one.
-	Take(ctx context.Context, id topo.CustomerID) bool
+	// Take takes a token. It returns Unset, or why there is none.
+	Take(ctx context.Context, id topo.CustomerID) errkind.Kind
 	// Return gives the token of a request that did not run back.
 	Return(id topo.CustomerID)
 }
@@ -99,6 +99,8 @@
 	deadline time.Time
 	tried    []topo.ServerID
 	body     bool
+	// token says that a token of the customer's rate was taken.
+	token bool
 }
 
 // Serve answers a request. The context ends when the caller is gone.
@@ -122,7 +124,7 @@
 		f.Stats.Arrived(part.Service, r.Key)
 	}
 	ans, ran := f.run(ctx, r)
-	if !ran && r.customer != nil {
+	if !ran && r.token {
 		f.Rates.Return(r.customer.ID)
 	}
 	return ans
@@ -150,8 +152,16 @@
 		}
 	}
 	r.setDeadline()
-	if r.customer != nil && r.customer.Rate > 0 && !f.Rates.Take(ctx, r.customer.ID) {
-		return errkind.RateExceeded, "customer's rate is used up"
+	if r.customer == nil || r.customer.Rate <= 0 {
+		return errkind.Unset, ""
+	}
+	switch kind := f.Rates.Take(ctx, r.customer.ID); kind {
+	case errkind.Unset:
+		r.token = true
+	case errkind.RateExceeded:
+		return kind, "customer's rate is used up"
+	default:
+		return kind, "home of the customer's rate does not answer"
 	}
 	return errkind.Unset, ""
 }
--- a/leader/lease.go
+++ b/leader/lease.go
@@ -88,7 +88,8 @@
 // Lease is the state machine of one process. It is pure and not safe for
 // concurrent use.
 type Lease struct {
-	self Identity
+	self  Identity
+	yield time.Duration
 	// current is the newest version seen; since is when it was first seen.
 	current Seen
 	since   time.Time
@@ -103,8 +104,9 @@
 	leaving         bool
 }
 
-// New returns the state of a process that has read nothing yet.
-func New(self Identity) *Lease { return &Lease{self: self} }
+// New returns the state of a process that has read nothing yet. It leaves a
+// free lease to others for the time of yield: small VMs give way to large ones.
+func New(self Identity, yield time.Duration) *Lease { return &Lease{self: self, yield: yield} }
 
 // Holds reports whether the process leads at now, and the term.
 func (l *Lease) Holds(now time.Time) (topo.Term, bool) {
@@ -172,12 +174,12 @@
 	holder := l.current.Record.Holder
 	switch {
 	case holder == Identity{}:
-		return true
+		return now.Sub(l.since) >= l.yield
 	case holder.VM == l.self.VM && holder.Addr == l.self.Addr:
 		// An earlier process of this VM held it, and is dead.
 		return true
 	}
-	return now.Sub(l.since) > time.Duration(float64(TTL)*(1+MaxDrift))
+	return now.Sub(l.since) > time.Duration(float64(TTL)*(1+MaxDrift))+l.yield
 }
 
 // Observed records a version that was read. Version 0 means that the lease
@@ -220,6 +222,9 @@
 	if l.free(now) {
 		return 0
 	}
+	if l.current.Record.Holder == (Identity{}) {
+		return min(urgentInterval, l.yield)
+	}
 	if now.Sub(l.since) > TTL/2 || l.eager {
 		return urgentInterval
 	}
--- a/node/assigner.go
+++ b/node/assigner.go
@@ -15,7 +15,6 @@
 	"godwitlock.example/godwitlock/keyrange"
 	"godwitlock.example/godwitlock/ownership"
 	"godwitlock.example/godwitlock/placement"
-	"godwitlock.example/godwitlock/quota"
 	"godwitlock.example/godwitlock/ring"
 	"godwitlock.example/godwitlock/routemap"
 	"godwitlock.example/godwitlock/store"
@@ -82,7 +81,6 @@
 	a.pending = make(map[topo.ServiceName]time.Time)
 	a.loads.reset()
 	a.node.hub.Begin(start)
-	defer a.node.hub.End()
 	for !a.adopt(ctx, start) {
 		if !a.leads() || ctx.Err() != nil {
 			return
@@ -170,7 +168,6 @@
 	if snap.Routes == nil {
 		return
 	}
-	a.limits(now, snap.Routes)
 	snap.Routes.Services(func(svc *routemap.Service) {
 		if svc.Keyed {
 			a.service(now, snap, svc)
@@ -183,22 +180,6 @@
 	a.publish()
 }
 
-// limits tells the ledger the customers' rates. The part of the burst that may
-// exist at VMs uses some of what the deployment allows beyond the rate.
-func (a *assigner) limits(now time.Time, m *routemap.Map) {
-	b := &a.node.set.Bounds
-	a.node.hub.Ledger(func(l *quota.Ledger) {
-		m.Customers(func(c *routemap.Customer) {
-			over := b.RateOverrun*(c.Rate*b.RateWindow.Seconds()+c.Burst)*rateOverrunUsed + b.RateSlack*rateSlackUsed
-			l.SetLimit(now, c.ID, quota.Allowance{Rate: c.Rate, Burst: c.Burst + over})
-		})
-	})
-}
-
-// rateOverrunUsed and rateSlackUsed are the parts of the allowed overrun that
-// tokens at VMs may make up; the rest covers delays on the way to servers.
-const rateOverrunUsed, rateSlackUsed = 0.6, 0.5
-
 // service does what is due for one keyed service.
 func (a *assigner) service(now time.Time, snap *view.Snapshot, svc *routemap.Service) {
 	m := a.machines[svc.Name]
--- a/node/lease.go
+++ b/node/lease.go
@@ -34,9 +34,9 @@
 	led   bool
 }
 
-func newLeaseDuty(objects store.Objects, key string, self leader.Identity, log *declog.Log, silent func() bool) *leaseDuty {
+func newLeaseDuty(objects store.Objects, key string, self leader.Identity, yield time.Duration, log *declog.Log, silent func() bool) *leaseDuty {
 	return &leaseDuty{
-		objects: objects, key: key, log: log, silent: silent, lease: leader.New(self), wake: make(chan struct{}, 1),
+		objects: objects, key: key, log: log, silent: silent, lease: leader.New(self, yield), wake: make(chan struct{}, 1),
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -48,6 +48,8 @@
 	// retrySlackUsed is the part of the allowed retries that is divided among
 	// the VMs, and retryShareUsed the part of the allowed share.
 	retrySlackUsed, retryShareUsed = 0.5, 0.85
+	// maxYield is how long the smallest VM leaves a free lease to larger ones.
+	maxYield = 400 * time.Millisecond
 	// sweepInterval is the time between two searches for idle connections.
 	sweepInterval = time.Second
 )
@@ -70,6 +72,7 @@
 	ingress  *ingress.Server
 	grpc     *grpc.Server
 	loads    *loads
+	rates    *fleet.Rates
 	calls    storeCalls
 
 	addresses addressBook
@@ -103,25 +106,27 @@
 	n.platform.CountCalls(n.calls.count)
 	n.peers = peer.NewPool(insecure.NewCredentials(), nil)
 	n.lease = newLeaseDuty(n.platform.Objects(), n.platform.OwnKey("leader", "lease"),
-		leader.Identity{VM: n.set.VM, Boot: boot, Addr: n.set.PeerAddr}, n.log, n.relayStale)
+		leader.Identity{VM: n.set.VM, Boot: boot, Addr: n.set.PeerAddr},
+		yieldTime(n.set.CPUShare), n.log, n.relayStale)
 	n.follower = fleet.NewFollower(self, boot, n.view, n.peers, n.setConfig, n.lease.Heard)
 	n.loads = newLoads(n.view)
 	n.hub = fleet.NewHub(n.view, self, n.lease.Leads, n.lease.Version, n.view.Confirmed, n.loads)
 	n.watching = n.watchers()
 	n.reports = newReports(n.set.VM, n.metrics)
+	n.rates = fleet.NewRates(n.set.VM, n.view, n.peers)
 	n.egress = egress.New(n.platform.ServerHeaders())
 	n.egress.Connected = func() { n.metrics.Count("server_connections", "", "") }
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	n.broker = broker.New(n.poolServers, 1, rng)
 	n.fallback = broker.New(n.poolServers, fallbackDivisor, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	fwd := forward.New(forward.Config{
-		View: n.view, Egress: n.egress, Rates: n.reports, Stats: n.reports, Log: n.log, Fresh: n.fresh,
+		View: n.view, Egress: n.egress, Rates: n.rates, Stats: n.reports, Log: n.log, Fresh: n.fresh,
 		Slots:   fleet.NewSlots(n.set.VM, n.set.DataCentre, n.peers, n.broker, n.fallback),
 		Budgets: forward.NewBudgets(n.set.Bounds.RetryShare*retryShareUsed, n.retrySlack),
 	})
 	n.ingress = ingress.NewServer(n.platform.CallerHeaders(), fwd.Serve, n.callerLimits)
 	n.grpc = grpc.NewServer()
-	fleetpb.RegisterFleetServer(n.grpc, fleet.NewServer(n.hub, n.broker))
+	fleetpb.RegisterFleetServer(n.grpc, fleet.NewServer(n.hub, n.broker, n.rates))
 	n.gauges()
 }
 
@@ -132,6 +137,14 @@
 	n.metrics.Gauge("home_running", func() float64 { _, r := n.broker.Depth(); return float64(r) })
 }
 
+// yieldTime is how long a VM leaves a free lease to larger ones.
+func yieldTime(cpuShare float64) time.Duration {
+	if cpuShare <= 0 {
+		return 0
+	}
+	return time.Duration(max(0, 1-cpuShare) * float64(maxYield))
+}
+
 // retrySlack is this VM's part of the retries that are allowed in any case.
 func (n *Node) retrySlack() float64 {
 	return (n.set.Bounds.RetrySlack * retrySlackUsed / float64(max(1, len(n.view.Snapshot().Members))))
@@ -205,7 +218,9 @@
 		if err := n.follower.Follow(ctx, l.Addr, n.stopping.Load()); err != nil {
 			n.log.Event("leader_unheard").Str("leader", string(l.VM)).Err(err).Send()
 			pause(ctx, followRetry)
+			continue
 		}
+		pause(ctx, n.follower.Pace())
 	}
 	return ctx.Err()
 }
@@ -249,6 +264,7 @@
 		{"lease", n.lease.Run},
 		{"follow", n.runFollow},
 		{"reports", n.runReports},
+		{"rates", n.runRates},
 		{"assigner", newAssigner(n, n.loads).Run},
 		{"home", n.broker.Run},
 		{"fallback", n.fallback.Run},
--- a/node/pools.go
+++ b/node/pools.go
@@ -1,11 +1,8 @@
 package node
 
 import (
-	"strings"
-
 	"godwitlock.example/godwitlock/directory"
 	"godwitlock.example/godwitlock/permit"
-	"godwitlock.example/godwitlock/topo"
 	"godwitlock.example/godwitlock/view"
 )
 
@@ -14,14 +11,9 @@
 	if snap.Routes == nil {
 		return nil
 	}
-	if id, ok := strings.CutPrefix(pool, "server/"); ok {
-		if s := snap.Usable(topo.ServerID(id)); s != nil {
-			return []permit.Server{permitServer(snap, s)}
-		}
-		return nil
-	}
-	var out []permit.Server
-	for _, s := range snap.ServersOf(topo.ServiceName(strings.TrimPrefix(pool, "service/"))) {
+	list := snap.PoolServers(pool)
+	out := make([]permit.Server, 0, len(list))
+	for _, s := range list {
 		out = append(out, permitServer(snap, s))
 	}
 	return out
--- a/node/reports.go
+++ b/node/reports.go
@@ -11,7 +11,9 @@
 	"godwitlock.example/godwitlock/metric"
 	"godwitlock.example/godwitlock/placement"
 	"godwitlock.example/godwitlock/quota"
+	"godwitlock.example/godwitlock/routemap"
 	"godwitlock.example/godwitlock/topo"
+	"godwitlock.example/godwitlock/view"
 )
 
 const (
@@ -20,11 +22,6 @@
 	// grow with the fleet.
 	reportInterval = 250 * time.Millisecond
 	reportPerVM    = 5 * time.Millisecond
-	// urgentReport is the least time between two reports that a request
-	// without a token asks for.
-	urgentReport = 25 * time.Millisecond
-	// tokenWait is how long a request waits for a token: a few reports.
-	tokenWait = 120 * time.Millisecond
 )
 
 // work is what a server did since the last report.
@@ -33,25 +30,21 @@
 	total   time.Duration
 }
 
-// reports collects what the leader is told, and keeps the customers' tokens.
-// It implements forward.Stats and forward.Rates and is safe for concurrent use.
+// reports collects what the leader is told. It implements forward.Stats and is
+// safe for concurrent use.
 type reports struct {
 	metrics *metric.Set
 	vm      topo.VMID
 
-	mu      sync.Mutex
-	purse   *quota.Purse
-	loads   map[topo.ServiceName]map[int]int
-	work    map[topo.ServerID]work
-	granted chan struct{}
-	urgent  chan struct{}
+	mu    sync.Mutex
+	loads map[topo.ServiceName]map[int]int
+	work  map[topo.ServerID]work
 }
 
 func newReports(vm topo.VMID, m *metric.Set) *reports {
 	return &reports{
-		vm: vm, metrics: m, purse: quota.NewPurse(),
+		vm: vm, metrics: m,
 		loads: make(map[topo.ServiceName]map[int]int), work: make(map[topo.ServerID]work),
-		granted: make(chan struct{}), urgent: make(chan struct{}, 1),
 	}
 }
 
@@ -80,45 +73,6 @@
 // Answered implements forward.Stats.
 func (r *reports) Answered(route, kind string, d time.Duration) { r.metrics.Answered(route, kind, d) }
 
-// Take implements forward.Rates. A request without a token waits for the
-// reports of a moment.
-func (r *reports) Take(ctx context.Context, id topo.CustomerID) bool {
-	r.mu.Lock()
-	ok, granted := r.purse.Take(clock.Boot(), id), r.granted
-	r.mu.Unlock()
-	if ok {
-		return true
-	}
-	t := time.NewTimer(tokenWait)
-	defer t.Stop()
-	for {
-		select {
-		case r.urgent <- struct{}{}:
-		default:
-		}
-		select {
-		case <-granted:
-		case <-t.C:
-			return false
-		case <-ctx.Done():
-			return false
-		}
-		r.mu.Lock()
-		ok, granted = r.purse.Retake(clock.Boot(), id), r.granted
-		r.mu.Unlock()
-		if ok {
-			return true
-		}
-	}
-}
-
-// Return implements forward.Rates.
-func (r *reports) Return(id topo.CustomerID) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.purse.Return(id)
-}
-
 // take returns the report of the time since the last one.
 func (r *reports) take(interval time.Duration) *fleetpb.ReportRequest {
 	r.mu.Lock()
@@ -137,36 +91,14 @@
 	}
 	clear(r.loads)
 	clear(r.work)
-	for _, t := range r.purse.Report(clock.Boot()) {
-		req.Tokens = append(req.Tokens, &fleetpb.Tokens{Customer: string(t.Customer), Held: t.Held, Asked: t.Asked})
-	}
 	return req
 }
 
-// add takes over the tokens of an answered report.
-func (r *reports) add(sent time.Time, grants map[topo.CustomerID]float64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.purse.Granted(sent, grants)
-	close(r.granted)
-	r.granted = make(chan struct{})
-}
-
 // runReports reports to the leader until ctx ends.
 func (n *Node) runReports(ctx context.Context) error {
 	last := clock.Boot()
 	for ctx.Err() == nil {
-		interval := reportInterval + time.Duration(len(n.view.Snapshot().Members))*reportPerVM
-		t := time.NewTimer(interval)
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		case <-n.reports.urgent:
-			if since := clock.Boot().Sub(last); since < urgentReport {
-				pause(ctx, urgentReport-since)
-			}
-		}
-		t.Stop()
+		pause(ctx, reportInterval+time.Duration(len(n.view.Snapshot().Members))*reportPerVM)
 		now := clock.Boot()
 		n.report(ctx, now.Sub(last))
 		last = now
@@ -175,19 +107,57 @@
 }
 
 func (n *Node) report(ctx context.Context, interval time.Duration) {
-	sent := clock.Boot()
 	if _, leads := n.lease.Leads(); leads {
-		n.reports.add(sent, n.hub.ReportHere(n.reports.take(interval)))
+		n.hub.ReportHere(n.reports.take(interval))
 		return
 	}
 	leader := n.lease.Leader()
 	if leader.Addr == "" || leader.VM == n.set.VM {
 		return
 	}
-	grants, err := n.follower.Report(ctx, leader.Addr, n.reports.take(interval))
-	if err != nil {
+	if err := n.follower.Report(ctx, leader.Addr, n.reports.take(interval)); err != nil {
 		n.log.Event("report_failed").Str("leader", string(leader.VM)).Err(err).Send()
-		return
 	}
-	n.reports.add(sent, grants)
 }
+
+// runRates keeps the homes of customers' rates until ctx ends.
+func (n *Node) runRates(ctx context.Context) error {
+	var done *view.Snapshot
+	for ctx.Err() == nil {
+		changed := n.view.Changed()
+		if snap := n.view.Snapshot(); snap != done {
+			done = snap
+			n.rates.Update(snap, n.allowance)
+		}
+		if _, leads := n.lease.Leads(); leads {
+			n.rates.Heard(clock.Boot())
+		} else {
+			n.rates.Heard(n.follower.Sent())
+		}
+		t := time.NewTimer(heardInterval)
+		select {
+		case <-changed:
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		t.Stop()
+	}
+	return ctx.Err()
+}
+
+// allowance is what a customer may use. Its burst uses some of what the
+// deployment allows beyond the rate, since requests reach a home a little later
+// than they were sent.
+func (n *Node) allowance(c *routemap.Customer) quota.Allowance {
+	b := &n.set.Bounds
+	over := b.RateOverrun*(c.Rate*b.RateWindow.Seconds()+c.Burst)*rateOverrunUsed + b.RateSlack*rateSlackUsed
+	return quota.Allowance{Rate: c.Rate, Burst: c.Burst + over}
+}
+
+const (
+	// rateOverrunUsed and rateSlackUsed are the parts of the allowed overrun
+	// that a burst may use.
+	rateOverrunUsed, rateSlackUsed = 0.3, 0.25
+	// heardInterval is how often a home learns that the leader was heard.
+	heardInterval = 200 * time.Millisecond
+)
--- a/node/settings.go
+++ b/node/settings.go
@@ -25,7 +25,9 @@
 	// MemoryBytes and MaxFiles are the limits of the process; 0 means none.
 	MemoryBytes int64
 	MaxFiles    int
-	Bounds      Bounds
+	// CPUShare is the share of a core that the VM has; 0 means a whole one.
+	CPUShare float64
+	Bounds   Bounds
 }
 
 // Bounds are the promises of the deployment.
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -1,14 +1,13 @@
 // Package quota keeps every customer within its rate and burst, summed over all
-// VMs. The leader's Ledger hands tokens out to the VMs, each of which keeps
-// them in a Purse and spends one per request.
+// VMs. Each customer has one home VM, whose Home holds the customer's token
+// bucket; other VMs ask it for a token per request.
 //
-// Why the bound holds: the ledger counts every token that it handed out as
-// existing until the VM has reported it spent, or until a VM that is not heard
-// has lost its tokens. New tokens come in at the customer's rate, and only
-// while fewer than the burst exist. So what runs in a window is at most the
-// burst and the rate times the window. A new leader starts with no tokens and
-// learns from the VMs' reports what exists; until it has heard them all, up to
-// one more burst may exist. It is pure.
+// A VM that becomes a customer's home starts with an empty bucket, which fills
+// at the customer's rate. It hands tokens out only while its leave is valid: it
+// heard the leader lately, which names another home only some time after that;
+// or no leader is heard anywhere and more than half of the VMs ask here. So the
+// homes of a customer that follow one another never exceed its rate and one
+// burst together. Home is pure and not safe for concurrent use.
 package quota
 
 import (
@@ -18,215 +17,127 @@
 )
 
 const (
-	// TokenTTL is how long a VM that does not hear a leader may spend its
-	// tokens, counted by the VM from its last report that was answered.
-	TokenTTL = 4 * time.Second
-	// lostAfter is when the leader counts the tokens of a silent VM as gone.
-	// It is longer than TokenTTL with the drift of both clocks.
-	lostAfter = 5 * time.Second
-	// reserve is the time of a VM's demand that its purse should cover: most of
-	// the time without a leader after one is lost.
-	reserve = 2500 * time.Millisecond
-	// demandMemory is the weight of a new report in a VM's demand.
-	demandMemory = 0.3
+	// heardTTL is how long a VM stays home of its customers after it sent the
+	// last request that a leader answered. It is shorter than the time after
+	// which the leader forgets a silent VM.
+	heardTTL = time.Second
+	// leaderlessTTL is how long it stays home while no leader is heard and
+	// more than half of the VMs ask for tokens; askedTTL is how long one
+	// that asked counts.
+	leaderlessTTL = 5 * time.Second
+	askedTTL      = 2 * time.Second
 )
 
-// Report is what a VM tells of one customer.
-type Report struct {
-	Customer topo.CustomerID
-	// Held is the tokens in the purse.
-	Held float64
-	// Asked is the number of requests since the last report, whether they got
-	// a token or not.
-	Asked float64
-}
-
 // Allowance is a customer's rate.
 type Allowance struct {
 	// Rate is in requests per second and Burst in requests.
 	Rate, Burst float64
 }
 
-// holding is one VM's part of an account.
-type holding struct {
-	held   float64
-	demand float64
-	seen   time.Time
-}
+// Verdict is the answer to a request for a token.
+type Verdict uint8
 
-// account is one customer's state at the leader.
-type account struct {
-	limit Allowance
-	// free are tokens that exist and no VM has.
-	free float64
-	last time.Time
-	vms  map[topo.VMID]*holding
-}
+// The verdicts.
+const (
+	// Granted: the request may run.
+	Granted Verdict = iota + 1
+	// Exhausted: the customer's rate is used up.
+	Exhausted
+	// NotHome: this VM may not hand out the customer's tokens.
+	NotHome
+)
 
-// Ledger is the leader's account of all customers. It is not safe for
-// concurrent use.
-type Ledger struct {
-	start    time.Time
-	accounts map[topo.CustomerID]*account
+// bucket is one customer's token bucket.
+type bucket struct {
+	limit  Allowance
+	tokens float64
+	last   time.Time
 }
 
-// NewLedger returns the ledger of a leader whose lease began at start.
-func NewLedger(start time.Time) *Ledger {
-	return &Ledger{start: start, accounts: make(map[topo.CustomerID]*account)}
+func (b *bucket) refill(now time.Time) {
+	b.tokens = min(b.limit.Burst, b.tokens+b.limit.Rate*max(0, now.Sub(b.last).Seconds()))
+	b.last = now
 }
 
-// SetLimit adds a customer or changes its rate. A rate of 0 removes it.
-func (l *Ledger) SetLimit(now time.Time, id topo.CustomerID, limit Allowance) {
-	if limit.Rate <= 0 {
-		delete(l.accounts, id)
-		return
-	}
-	a := l.accounts[id]
-	if a == nil {
-		a = &account{last: now, vms: make(map[topo.VMID]*holding)}
-		l.accounts[id] = a
-	}
-	a.refill(now)
-	a.limit = limit
-	a.free = min(a.free, max(0, limit.Burst-a.held()))
+// Home holds the buckets of the customers whose home is this VM.
+type Home struct {
+	buckets map[topo.CustomerID]*bucket
+	asked   map[topo.VMID]time.Time
+	members int
+	heard   time.Time
 }
 
-// held returns the tokens that VMs have.
-func (a *account) held() float64 {
-	total := 0.0
-	for _, h := range a.vms {
-		total += h.held
-	}
-	return total
+// NewHome returns a home of no customers.
+func NewHome() *Home {
+	return &Home{buckets: make(map[topo.CustomerID]*bucket), asked: make(map[topo.VMID]time.Time)}
 }
 
-// refill adds what the rate brought in since the last call.
-func (a *account) refill(now time.Time) {
-	for vm, h := range a.vms {
-		if now.Sub(h.seen) > lostAfter {
-			delete(a.vms, vm)
+// SetCustomers replaces the customers whose home this VM is. Those that stay
+// keep their tokens; others start with none. Members is the number of VMs.
+func (h *Home) SetCustomers(now time.Time, list map[topo.CustomerID]Allowance, members int) {
+	h.members = members
+	for id := range h.buckets {
+		if _, ok := list[id]; !ok {
+			delete(h.buckets, id)
 		}
 	}
-	room := max(0, a.limit.Burst-a.held()-a.free)
-	a.free += min(room, a.limit.Rate*max(0, now.Sub(a.last).Seconds()))
-	a.last = now
-}
-
-// Exchange takes a VM's report and returns the tokens to add to its purse; a
-// negative number asks for tokens back.
-func (l *Ledger) Exchange(now time.Time, vm topo.VMID, interval time.Duration, reports []Report) map[topo.CustomerID]float64 {
-	out := make(map[topo.CustomerID]float64, len(reports))
-	for _, r := range reports {
-		a := l.accounts[r.Customer]
-		if a == nil {
-			continue
-		}
-		if grant := a.exchange(now, vm, interval, r); grant != 0 {
-			out[r.Customer] = grant
+	for id, limit := range list {
+		b := h.buckets[id]
+		if b == nil {
+			b = &bucket{last: now}
+			h.buckets[id] = b
 		}
+		b.refill(now)
+		b.limit = limit
+		b.tokens = min(b.tokens, limit.Burst)
 	}
-	return out
 }
 
-func (a *account) exchange(now time.Time, vm topo.VMID, interval time.Duration, r Report) float64 {
-	a.refill(now)
-	h := a.vms[vm]
-	if h == nil {
-		h = &holding{}
-		a.vms[vm] = h
-	}
-	h.held, h.seen = r.Held, now
-	if interval > 0 {
-		h.demand += demandMemory * (r.Asked/interval.Seconds() - h.demand)
-	}
-	want := a.part(h) - h.held
-	switch {
-	case want > 0:
-		want = min(want, a.free)
-		a.free -= want
-		h.held += want
-	case want < -1:
-		// Tokens beyond twice the need serve another VM better.
-		want = min(0, want+a.part(h))
-	default:
-		want = 0
-	}
-	return want
-}
+// Heard records that the leader answered a request that was sent at a time, or
+// that this VM led then.
+func (h *Home) Heard(sent time.Time) { h.heard = sent }
 
-// part returns the tokens that a VM should have: its reserve, or its share of
-// the burst when that does not cover all reserves.
-func (a *account) part(h *holding) float64 {
-	total := 0.0
-	for _, o := range a.vms {
-		total += o.want()
-	}
-	if total <= a.limit.Burst {
-		return h.want()
-	}
-	return a.limit.Burst * h.want() / total
-}
-
-// want is the reserve of a VM: its demand's, and one request that comes
-// without warning.
-func (h *holding) want() float64 { return 1 + h.demand*reserve.Seconds() }
-
-// Purse is one VM's tokens. It is not safe for concurrent use.
-type Purse struct {
-	tokens map[topo.CustomerID]float64
-	asked  map[topo.CustomerID]float64
-	heard  time.Time
-}
+// Asked records that a VM reached this one.
+func (h *Home) Asked(now time.Time, vm topo.VMID) { h.asked[vm] = now }
 
-// NewPurse returns an empty purse.
-func NewPurse() *Purse {
-	return &Purse{tokens: make(map[topo.CustomerID]float64), asked: make(map[topo.CustomerID]float64)}
-}
-
-// Take spends a token of a customer, or reports that there is none.
-func (p *Purse) Take(now time.Time, id topo.CustomerID) bool {
-	p.asked[id]++
-	if now.Sub(p.heard) > TokenTTL || p.tokens[id] < 1 {
-		return false
+// valid reports whether this VM may hand out tokens.
+func (h *Home) valid(now time.Time) bool {
+	silent := now.Sub(h.heard)
+	if silent < heardTTL {
+		return true
 	}
-	p.tokens[id]--
-	return true
-}
-
-// Retake is Take for a request that was counted before.
-func (p *Purse) Retake(now time.Time, id topo.CustomerID) bool {
-	p.asked[id]--
-	return p.Take(now, id)
-}
-
-// Return gives a token back: its request was refused and did not run.
-func (p *Purse) Return(id topo.CustomerID) { p.tokens[id]++ }
-
-// Report returns the reports for the leader and starts the next interval.
-func (p *Purse) Report(now time.Time) []Report {
-	if now.Sub(p.heard) > TokenTTL {
-		clear(p.tokens)
+	if silent > leaderlessTTL {
+		return false
 	}
-	var out []Report
-	for id := range p.tokens {
-		if _, asked := p.asked[id]; !asked {
-			p.asked[id] = 0
+	n := 0
+	for vm, at := range h.asked {
+		if now.Sub(at) > askedTTL {
+			delete(h.asked, vm)
+			continue
 		}
+		n++
 	}
-	for id, n := range p.asked {
-		out = append(out, Report{Customer: id, Held: p.tokens[id], Asked: n})
+	return 2*n > h.members
+}
+
+// Take takes a token of a customer for a request at a VM.
+func (h *Home) Take(now time.Time, vm topo.VMID, id topo.CustomerID) Verdict {
+	h.Asked(now, vm)
+	b := h.buckets[id]
+	if b == nil || !h.valid(now) {
+		return NotHome
 	}
-	for id := range p.asked {
-		p.asked[id] = 0
+	b.refill(now)
+	if b.tokens < 1 {
+		return Exhausted
 	}
-	return out
+	b.tokens--
+	return Granted
 }
 
-// Granted adds the tokens that the answer to a report brought. Sent is when
-// the report was sent.
-func (p *Purse) Granted(sent time.Time, grants map[topo.CustomerID]float64) {
-	p.heard = sent
-	for id, n := range grants {
-		p.tokens[id] = max(0, p.tokens[id]+n)
+// Return gives a token back: its request did not run.
+func (h *Home) Return(id topo.CustomerID) {
+	if b := h.buckets[id]; b != nil {
+		b.tokens = min(b.limit.Burst, b.tokens+1)
 	}
 }
--- a/view/homes.go
+++ b/view/homes.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"hash/fnv"
 	"slices"
+	"strings"
+	"sync"
 
 	"godwitlock.example/godwitlock/directory"
 	"godwitlock.example/godwitlock/routemap"
@@ -18,36 +20,74 @@
 // for a keyed service, the service's for a pooled one.
 func PoolOf(svc *routemap.Service, server topo.ServerID) string {
 	if svc.Keyed {
-		return "server/" + string(server)
+		return serverPool + string(server)
 	}
-	return "service/" + string(svc.Name)
+	return servicePool + string(svc.Name)
 }
 
-// homes ranks the VMs for every pool by rendezvous hashing, so that a VM that
-// comes or goes changes few homes. VMs of the server's data centre go first:
-// the home is where the server's answers are heard of.
-func homes(s *Snapshot) map[string][]Member {
-	out := make(map[string][]Member)
-	if s.Routes == nil || len(s.Members) == 0 {
-		return out
-	}
-	s.Routes.Services(func(svc *routemap.Service) {
-		if !svc.Keyed {
-			pool := PoolOf(svc, "")
-			out[pool] = rank(s.Members, pool, "")
+// Prefixes of the names of pools.
+const serverPool, servicePool = "server/", "service/"
+
+// PoolPlace returns the data centre that the home of a pool should be in: its
+// server's, where the server's answers are heard of.
+func (s *Snapshot) PoolPlace(pool string) topo.DataCentreName {
+	if id, ok := strings.CutPrefix(pool, serverPool); ok {
+		if srv := s.Servers[topo.ServerID(id)]; srv != nil {
+			return srv.DataCentre
 		}
-	})
-	for _, srv := range s.Servers {
-		if svc := s.Routes.Service(srv.Service); svc != nil && svc.Keyed {
-			pool := PoolOf(svc, srv.ID)
-			out[pool] = rank(s.Members, pool, srv.DataCentre)
+	}
+	return ""
+}
+
+// PoolServers returns the usable servers whose slots a pool has.
+func (s *Snapshot) PoolServers(pool string) []*directory.Server {
+	if id, ok := strings.CutPrefix(pool, serverPool); ok {
+		if srv := s.Usable(topo.ServerID(id)); srv != nil {
+			return []*directory.Server{srv}
 		}
+		return nil
 	}
-	return out
+	return s.ServersOf(topo.ServiceName(strings.TrimPrefix(pool, servicePool)))
+}
+
+// homeCache ranks the VMs for things by rendezvous hashing, so that a VM that
+// comes or goes changes few homes. It is safe for concurrent use.
+type homeCache struct {
+	members []Member
+
+	mu    sync.Mutex
+	ranks map[homeKey][]Member
+}
+
+type homeKey struct {
+	name   string
+	prefer topo.DataCentreName
+}
+
+// maxRanks bounds the cache; it is filled again when it is full.
+const maxRanks = 8192
+
+func newHomeCache(members []Member) *homeCache {
+	return &homeCache{members: members, ranks: make(map[homeKey][]Member)}
+}
+
+func (c *homeCache) get(name string, prefer topo.DataCentreName) []Member {
+	key := homeKey{name, prefer}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r, ok := c.ranks[key]; ok {
+		return r
+	}
+	if len(c.ranks) >= maxRanks {
+		clear(c.ranks)
+	}
+	r := rank(c.members, name, prefer)
+	c.ranks[key] = r
+	return r
 }
 
-// rank returns the first VMs for a pool.
-func rank(members []Member, pool string, prefer topo.DataCentreName) []Member {
+// rank returns the first VMs for a thing.
+func rank(members []Member, name string, prefer topo.DataCentreName) []Member {
 	type scored struct {
 		Member
 		near  bool
@@ -55,7 +95,7 @@
 	}
 	list := make([]scored, len(members))
 	for i, m := range members {
-		list[i] = scored{Member: m, near: m.DataCentre == prefer, score: score(pool, m.VM)}
+		list[i] = scored{Member: m, near: m.DataCentre == prefer, score: score(name, m.VM)}
 	}
 	slices.SortFunc(list, func(a, b scored) int {
 		if a.near != b.near {
--- a/view/view.go
+++ b/view/view.go
@@ -41,7 +41,7 @@
 	Unusable map[topo.ServerID]bool
 	Tables   map[topo.ServiceName]*keyrange.Table
 	Members  []Member
-	homes    map[string][]Member
+	homes    *homeCache
 }
 
 // Usable returns a server if new requests may be sent to it, or nil.
@@ -52,9 +52,14 @@
 	return s.Servers[id]
 }
 
-// Homes returns the home VM of a pool of slots and the VMs that stand in for
-// it, in order.
-func (s *Snapshot) Homes(pool string) []Member { return s.homes[pool] }
+// Homes returns the home VM of a thing and the VMs that stand in for it, in
+// order. VMs of the preferred data centre go first; it may be empty.
+func (s *Snapshot) Homes(name string, prefer topo.DataCentreName) []Member {
+	if s.homes == nil {
+		return nil
+	}
+	return s.homes.get(name, prefer)
+}
 
 // View is the mutable state. It is safe for concurrent use.
 type View struct {
@@ -67,6 +72,7 @@
 	tablesAt  TableVersion
 	members   []Member
 	memberSet uint64
+	homes     *homeCache
 	built     uint64
 	dirty     bool
 	changed   chan struct{}
@@ -178,6 +184,7 @@
 		return
 	}
 	v.members, v.memberSet, v.dirty = members, version, true
+	v.homes = newHomeCache(members)
 	v.publish()
 }
 
@@ -204,7 +211,7 @@
 			s.Unusable[d.ID] = true
 		}
 	})
-	s.homes = homes(s)
+	s.homes = v.homes
 	v.snapshot.Store(s)
 	close(v.changed)
 	v.changed = make(chan struct{})
