--- /dev/null
+++ b/placement/plan_test.go
@@ -0,0 +1,165 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitlock.example/godwitlock/keyrange"
+	"godwitlock.example/godwitlock/topo"
+)
+
+var start = time.Unix(1000, 0)
+
+// site is a set of servers with a table, for playing plans.
+type site struct {
+	load    *Load
+	servers []Server
+	table   []Piece
+}
+
+func newSite(n int) *site {
+	s := &site{load: NewLoad()}
+	for i := range n {
+		s.servers = append(s.servers, Server{ID: topo.ServerID(fmt.Sprintf("s%02d", i)), Slots: 3})
+	}
+	s.table = Initial(s.servers)
+	s.load.Decay(start)
+	return s
+}
+
+// feed puts a load of rate requests per second on the keys from first to last.
+func (s *site) feed(first, last keyrange.Key, rate float64) {
+	from, to := BucketOf(first), BucketOf(last)
+	for b := from; b <= to; b++ {
+		s.load.rate[b] += rate / float64(to-from+1)
+	}
+}
+
+// settle makes plans and carries them out until none is left.
+func (s *site) settle(t *testing.T) (moves int) {
+	t.Helper()
+	for range 200 {
+		plan := Plan(s.load, s.servers, s.table)
+		if len(plan) == 0 {
+			return moves
+		}
+		st := newState(s.load, s.servers, s.table)
+		for _, m := range plan {
+			st.apply(m)
+		}
+		for i := range st.table {
+			st.table[i].Fixed = false
+		}
+		s.table = st.table
+		moves += len(plan)
+	}
+	t.Fatal("the plans do not come to an end")
+	return moves
+}
+
+// mean is the expected time of a request, in seconds.
+func (s *site) mean() float64 {
+	cost, load := 0.0, 0.0
+	for _, sh := range newState(s.load, s.servers, s.table).all {
+		cost += sh.cost(sh.load)
+		load += sh.load
+	}
+	return cost / load
+}
+
+func (s *site) work(id string, d time.Duration) {
+	for range 40 {
+		s.load.Answered(topo.ServerID(id), 4, d)
+	}
+}
+
+// Guards against tables with gaps.
+func checkWhole(t *testing.T, table []Piece) {
+	t.Helper()
+	next := 0
+	for _, p := range table {
+		require.Equal(t, next, int(p.First))
+		next = int(p.Last) + 1
+	}
+	require.Equal(t, keyrange.Keys, next)
+}
+
+// Guards against keys that no server owns at first.
+func TestInitialCoversAllKeys(t *testing.T) {
+	for _, n := range []int{1, 2, 7, 34, 342} {
+		checkWhole(t, newSite(n).table)
+	}
+}
+
+// Guards against a hot stretch of neighbouring keys that stays on one server:
+// 200 keys with 40 requests a second, three times what a server can do.
+func TestHotStretchIsDivided(t *testing.T) {
+	s := newSite(34)
+	for _, srv := range s.servers {
+		s.work(string(srv.ID), 220*time.Millisecond)
+	}
+	s.feed(0, keyrange.MaxKey, 100)
+	s.feed(2928, 3127, 40)
+	before := s.mean()
+	s.settle(t)
+	checkWhole(t, s.table)
+	t.Logf("expected time %.3f s before, %.3f s after", before, s.mean())
+	for _, sh := range newState(s.load, s.servers, s.table).all {
+		require.Less(t, sh.load*sh.work/3, 0.95, "server %s is overloaded", sh.ID)
+	}
+	require.Less(t, s.mean(), 0.3)
+}
+
+// Guards against slow servers that keep the same part of the load as fast
+// ones: a quarter each works twice as long and two thirds as long as usual.
+func TestFastServersGetMore(t *testing.T) {
+	s := newSite(32)
+	for i, srv := range s.servers {
+		work := []time.Duration{440, 220, 220, 147}[i%4] * time.Millisecond
+		s.work(string(srv.ID), work)
+	}
+	s.feed(0, keyrange.MaxKey, 130)
+	before := s.mean()
+	s.settle(t)
+	t.Logf("expected time %.3f s before, %.3f s after", before, s.mean())
+	require.Less(t, s.mean(), 0.85*before)
+}
+
+// Guards against moves without a use: an even load on even servers.
+func TestEvenLoadStays(t *testing.T) {
+	s := newSite(16)
+	for _, srv := range s.servers {
+		s.work(string(srv.ID), 200*time.Millisecond)
+	}
+	s.feed(0, keyrange.MaxKey, 100)
+	require.Zero(t, s.settle(t))
+}
+
+// Guards against new servers that get nothing, and cold ones that get more than
+// they bear.
+func TestNewServersGetKeys(t *testing.T) {
+	s := newSite(8)
+	s.feed(0, keyrange.MaxKey, 60)
+	s.servers = append(s.servers, Server{ID: "new", Slots: 3}, Server{ID: "cold", Slots: 3, ColdRate: 4})
+	s.settle(t)
+	st := newState(s.load, s.servers, s.table)
+	require.Positive(t, st.byID["new"].keys)
+	require.Positive(t, st.byID["cold"].keys)
+	require.LessOrEqual(t, st.byID["cold"].load, 4.0)
+}
+
+// Guards against a leaving server whose keys all go to one other.
+func TestLeavingKeysAreDivided(t *testing.T) {
+	l := NewLoad()
+	l.Decay(start)
+	for b := range 300 {
+		l.rate[b] = 0.1
+	}
+	parts := Divide(l, 0, 300*BucketWidth-1)
+	require.Len(t, parts, pieces)
+	require.Equal(t, keyrange.Key(0), parts[0].First)
+	require.Equal(t, keyrange.Key(300*BucketWidth-1), parts[len(parts)-1].Last)
+}
