--- /dev/null
+++ b/standin/site/server.go
@@ -0,0 +1,233 @@
+package site
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Run is one run of a request at a server.
+type Run struct {
+	Server   string
+	Request  string
+	Customer string
+	Key      int
+	Method   string
+	At       time.Time
+}
+
+// hold is a grant in force at a server.
+type hold struct {
+	from, to int
+	fence    int64
+	until    time.Time
+}
+
+// Server is a backend server of a service that is divided by key. It is safe
+// for concurrent use.
+type Server struct {
+	ID, Service, Zone string
+	Born              int64
+	// Work is how long a request takes.
+	Work time.Duration
+	// Keyed servers run only requests for keys that they hold.
+	Keyed bool
+	// Ran is called for each run.
+	Ran func(Run)
+	// Late returns how long an order is carried out late without an answer; 0
+	// answers at once. Nil is never late.
+	Late func() time.Duration
+	// LoseAnswer reports whether the answer of a run is lost.
+	LoseAnswer func() bool
+
+	lis   net.Listener
+	http  *http.Server
+	slots chan struct{}
+
+	mu     sync.Mutex
+	holds  []hold
+	seen   map[int]int64
+	leaves bool
+}
+
+// Slots is the number of requests that each server runs at once.
+const Slots = 3
+
+// Start listens on loopback.
+func (s *Server) Start() error {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	s.lis, s.slots, s.seen = lis, make(chan struct{}, Slots), make(map[int]int64)
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /grant", s.grant)
+	mux.HandleFunc("POST /release", s.release)
+	mux.HandleFunc("/", s.run)
+	s.http = &http.Server{Handler: mux}
+	go func() { _ = s.http.Serve(lis) }()
+	return nil
+}
+
+// Addr is where the server listens.
+func (s *Server) Addr() string { return s.lis.Addr().String() }
+
+// Kill ends the server at once.
+func (s *Server) Kill() { _ = s.http.Close() }
+
+// Entry is what the server writes to the store about itself.
+func (s *Server) Entry() map[string]any {
+	state := "ready"
+	s.mu.Lock()
+	if s.leaves {
+		state = "draining"
+	}
+	s.mu.Unlock()
+	return map[string]any{
+		"service": s.Service, "addr": s.Addr(), "zone": s.Zone, "version": "v1", "slots": Slots,
+		"state": state, "warmupLeftS": 0, "seq": 1, "born": s.Born,
+	}
+}
+
+// Leave makes the entry say that the server is draining.
+func (s *Server) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaves = true
+}
+
+type order struct {
+	From   int     `json:"from"`
+	Target int     `json:"target"`
+	Fence  int64   `json:"fence"`
+	HoldS  float64 `json:"holdS"`
+}
+
+// late carries an order out late and without an answer, if it is to be so.
+func (s *Server) late(do func()) {
+	if s.Late == nil {
+		return
+	}
+	if d := s.Late(); d > 0 {
+		time.AfterFunc(d, do)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *Server) grant(w http.ResponseWriter, r *http.Request) {
+	var o order
+	if json.NewDecoder(r.Body).Decode(&o) != nil || o.From > o.Target {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	arrived := time.Now()
+	s.late(func() { s.take(o, arrived) })
+	if !s.take(o, arrived) {
+		w.WriteHeader(http.StatusConflict)
+	}
+}
+
+// take applies a grant unless a higher fence was seen on one of its keys.
+func (s *Server) take(o order, arrived time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, k := range []int{o.From, o.Target} {
+		if s.seen[k] > o.Fence {
+			return false
+		}
+	}
+	for _, h := range s.holds {
+		if h.from <= o.Target && o.From <= h.to && h.fence > o.Fence {
+			return false
+		}
+	}
+	s.cut(o.From, o.Target)
+	s.seen[o.From], s.seen[o.Target] = o.Fence, o.Fence
+	until := arrived.Add(time.Duration(o.HoldS * float64(time.Second)))
+	s.holds = append(s.holds, hold{o.From, o.Target, o.Fence, until})
+	return true
+}
+
+// cut removes keys from the holds. The lock is held.
+func (s *Server) cut(from, to int) {
+	var kept []hold
+	for _, h := range s.holds {
+		if h.to < from || h.from > to {
+			kept = append(kept, h)
+			continue
+		}
+		if h.from < from {
+			kept = append(kept, hold{h.from, from - 1, h.fence, h.until})
+		}
+		if h.to > to {
+			kept = append(kept, hold{to + 1, h.to, h.fence, h.until})
+		}
+	}
+	s.holds = kept
+}
+
+func (s *Server) release(w http.ResponseWriter, r *http.Request) {
+	var o order
+	if json.NewDecoder(r.Body).Decode(&o) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	do := func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.cut(o.From, o.Target)
+	}
+	s.late(do)
+	do()
+	// The answer comes when the work under way has ended.
+	time.Sleep(s.Work)
+	w.Header().Set("Handover", fmt.Sprintf("%s-%d", s.ID, o.From))
+}
+
+// Holds reports whether the server holds a key at a time.
+func (s *Server) Holds(key int, at time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range s.holds {
+		if h.from <= key && key <= h.to && at.Before(h.until) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Server) run(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Request-Id")
+	w.Header().Set("Request-Id", id)
+	w.Header().Set("Keep-Alive", "timeout=10")
+	key, _ := strconv.Atoi(r.Header.Get("Shard-Key"))
+	_, _ = io.Copy(io.Discard, r.Body)
+	if r.Header.Get("Expect-Instance") != s.ID || s.Keyed && !s.Holds(key, time.Now()) {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	select {
+	case s.slots <- struct{}{}:
+	default:
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { <-s.slots }()
+	if s.Ran != nil {
+		s.Ran(Run{Server: s.ID, Request: id, Customer: r.Header.Get("Tenant"), Key: key, Method: r.Method, At: time.Now()})
+	}
+	time.Sleep(s.Work)
+	if s.LoseAnswer != nil && s.LoseAnswer() {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Response-Seal", s.ID+"."+id)
+	w.Header().Set("Backend-Load", fmt.Sprintf("%d,0,%d", len(s.slots), Slots))
+	_, _ = io.WriteString(w, s.ID+" "+id)
+}
--- /dev/null
+++ b/standin/site/store.go
@@ -0,0 +1,244 @@
+// Package site is a stand-in of the users' platform by its published protocol:
+// the metadata store and backend servers that hold keys, on loopback, with
+// switchable faults. Tests and the soak use it; nothing of godwitlock does.
+package site
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// pageSize is the number of objects in a page of a listing. It is small so
+// that tests see several pages.
+const pageSize = 20
+
+// Object is an object as the store sends it.
+type Object struct {
+	Metadata struct {
+		Name string `json:"name"`
+		Rev  uint64 `json:"rev"`
+	} `json:"metadata"`
+	Spec json.RawMessage `json:"spec"`
+}
+
+type event struct {
+	Object    Object `json:"object"`
+	Tombstone bool   `json:"tombstone"`
+	kind      string
+}
+
+// Store is the metadata store. It is safe for concurrent use.
+type Store struct {
+	mu      sync.Mutex
+	rev     uint64
+	objects map[string]map[string]Object
+	events  []event
+	floor   uint64
+	changed chan struct{}
+	fault   func(r *http.Request) Fault
+}
+
+// Fault is what happens to a call.
+type Fault struct {
+	// Status answers the call without doing it; 0 does it.
+	Status int
+	// Lose does the call and closes the connection without an answer.
+	Lose bool
+	// Delay holds the call up before it is done.
+	Delay time.Duration
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{objects: make(map[string]map[string]Object), changed: make(chan struct{}), rev: 100}
+}
+
+// SetFault sets the function that decides what happens to calls; nil ends
+// faults.
+func (s *Store) SetFault(f func(*http.Request) Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// Compact forgets the history, so that watches have to list again.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events, s.floor = nil, s.rev
+}
+
+// Put writes an object as the operator or a backend server does.
+func (s *Store) Put(kind, name string, spec any) {
+	data, err := json.Marshal(spec)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(kind, name, data)
+}
+
+func (s *Store) put(kind, name string, spec []byte) Object {
+	if s.objects[kind] == nil {
+		s.objects[kind] = make(map[string]Object)
+	}
+	o := s.objects[kind][name]
+	if o.Metadata.Rev > 0 && string(o.Spec) == string(spec) {
+		return o
+	}
+	s.rev++
+	o.Metadata.Name, o.Metadata.Rev, o.Spec = name, s.rev, spec
+	s.objects[kind][name] = o
+	s.record(event{Object: o, kind: kind})
+	return o
+}
+
+func (s *Store) record(e event) {
+	s.events = append(s.events, e)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Delete removes an object.
+func (s *Store) Delete(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[kind][name]
+	if !ok {
+		return
+	}
+	delete(s.objects[kind], name)
+	s.rev++
+	o.Metadata.Rev = s.rev
+	s.record(event{Object: o, Tombstone: true, kind: kind})
+}
+
+// Get returns the spec of an object, or nil.
+func (s *Store) Get(kind, name string) json.RawMessage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.objects[kind][name].Spec
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	decide := s.fault
+	s.mu.Unlock()
+	var f Fault
+	if decide != nil {
+		f = decide(r)
+	}
+	time.Sleep(f.Delay)
+	if f.Status != 0 {
+		w.WriteHeader(f.Status)
+		return
+	}
+	status, body := s.serve(r)
+	if f.Lose {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if body != nil {
+		_ = json.NewEncoder(w).Encode(body)
+	}
+}
+
+func (s *Store) serve(r *http.Request) (int, any) {
+	path := strings.TrimPrefix(r.URL.Path, "/objects/")
+	kind, name, _ := strings.Cut(path, "/")
+	if r.Method == http.MethodGet && name == "" && r.URL.Query().Has("watch") {
+		return s.watch(r, kind)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case r.Method == http.MethodGet && name == "":
+		return s.list(kind, r.URL.Query().Get("after"))
+	case r.Method == http.MethodGet:
+		o, ok := s.objects[kind][name]
+		if !ok {
+			return http.StatusNotFound, nil
+		}
+		return http.StatusOK, o
+	case r.Method == http.MethodPost || r.Method == http.MethodPut:
+		return s.write(r, kind, name)
+	}
+	return http.StatusMethodNotAllowed, nil
+}
+
+func (s *Store) write(r *http.Request, kind, name string) (int, any) {
+	var o Object
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		return http.StatusBadRequest, nil
+	}
+	if name == "" {
+		name = o.Metadata.Name
+	}
+	have, exists := s.objects[kind][name]
+	switch {
+	case r.Method == http.MethodPost && exists:
+		return http.StatusConflict, have
+	case r.Method == http.MethodPut && !exists:
+		return http.StatusNotFound, nil
+	case r.Method == http.MethodPut && o.Metadata.Rev != 0 && o.Metadata.Rev != have.Metadata.Rev:
+		return http.StatusConflict, have
+	}
+	return http.StatusOK, s.put(kind, name, o.Spec)
+}
+
+func (s *Store) list(kind, after string) (int, any) {
+	var names []string
+	for n := range s.objects[kind] {
+		if n > after {
+			names = append(names, n)
+		}
+	}
+	sort.Strings(names)
+	more := len(names) > pageSize
+	items := make([]Object, 0, pageSize)
+	for _, n := range names[:min(pageSize, len(names))] {
+		items = append(items, s.objects[kind][n])
+	}
+	return http.StatusOK, map[string]any{"items": items, "hasMore": more, "atRev": s.rev}
+}
+
+// watch waits for events of a kind.
+func (s *Store) watch(r *http.Request, kind string) (int, any) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
+	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		if after < s.floor {
+			s.mu.Unlock()
+			return http.StatusGone, nil
+		}
+		events := []event{}
+		for _, e := range s.events {
+			if e.kind == kind && e.Object.Metadata.Rev > after {
+				events = append(events, e)
+			}
+		}
+		rev, changed := s.rev, s.changed
+		s.mu.Unlock()
+		if len(events) > 0 {
+			return http.StatusOK, map[string]any{"events": events, "atRev": rev}
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return http.StatusOK, map[string]any{"events": events, "atRev": rev}
+		case <-r.Context().Done():
+			return http.StatusServiceUnavailable, nil
+		}
+	}
+}
