--- /dev/null
+++ b/soak/cluster_test.go
@@ -0,0 +1,266 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitlock.example/godwitlock/standin/site"
+)
+
+// heartbeat is how often servers write their entry, and lapse how long an entry
+// stands without.
+const (
+	heartbeat = 300 * time.Millisecond
+	lapse     = 3 * heartbeat
+)
+
+// process is one VM's process with its link to the store.
+type process struct {
+	name  string
+	dir   string
+	front string
+	store *proxy
+	cmd   *exec.Cmd
+	log   *os.File
+	ended chan struct{}
+}
+
+// backend is a server with the link that VMs reach it by.
+type backend struct {
+	*site.Server
+	link *proxy
+	cut  bool
+	beat time.Time
+	gone bool
+}
+
+// cluster is a deployment of real processes on loopback.
+type cluster struct {
+	t      *testing.T
+	binary string
+	dir    string
+	store  *site.Store
+	procs  []*process
+	check  *checker
+
+	mu       sync.Mutex
+	servers  []*backend
+	next     int
+	storeURL string
+	stop     chan struct{}
+	done     sync.WaitGroup
+}
+
+// freePorts returns n addresses that were free a moment ago.
+func freePorts(t *testing.T, n int) []string {
+	t.Helper()
+	var out []string
+	for range n {
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer func() { _ = lis.Close() }()
+		out = append(out, lis.Addr().String())
+	}
+	return out
+}
+
+func port(addr string) string { return addr[strings.LastIndexByte(addr, ':')+1:] }
+
+func newCluster(t *testing.T, binary string, vms, servers int, check *checker) *cluster {
+	t.Helper()
+	dir, err := os.MkdirTemp("", "soak")
+	require.NoError(t, err)
+	c := &cluster{t: t, binary: binary, dir: dir, store: site.NewStore(), check: check, stop: make(chan struct{})}
+	srv := httptest.NewUnstartedServer(c.store)
+	srv.Config.ErrorLog = nil
+	srv.Start()
+	t.Cleanup(srv.Close)
+	c.storeURL = strings.TrimPrefix(srv.URL, "http://")
+	for range servers {
+		c.addServer()
+	}
+	c.done.Add(1)
+	go c.beat()
+	for i := range vms {
+		c.procs = append(c.procs, c.newProcess(i))
+	}
+	return c
+}
+
+func (c *cluster) newProcess(i int) *process {
+	p := &process{name: fmt.Sprintf("vm-%d", i), dir: c.dir}
+	var err error
+	p.store, err = newProxy(c.storeURL)
+	require.NoError(c.t, err)
+	ports := freePorts(c.t, 4)
+	p.front = ports[0]
+	text := fmt.Sprintf(`node = %q
+ip = "127.0.0.1"
+zone = "z%d"
+internalPorts = [%s, %s]
+bounds = ["revokeS=5","graceS=4","drainS=2","maxHoldS=10","retryRatio=0.2","retrySlack=20","quotaWindowS=5"]
+[listen]
+front = %q
+ready = %q
+[limits]
+cpuShare = 0.5
+[platform]
+addr = %q
+`, p.name, i%2, port(ports[2]), port(ports[3]), ports[0], ports[1], p.store.addr())
+	require.NoError(c.t, os.WriteFile(p.settings(), []byte(text), 0o600))
+	// The parser asks for a range; the two ports need not follow one another.
+	if port(ports[2]) > port(ports[3]) {
+		text = strings.Replace(text, port(ports[2])+", "+port(ports[3]), port(ports[3])+", "+port(ports[2]), 1)
+		require.NoError(c.t, os.WriteFile(p.settings(), []byte(text), 0o600))
+	}
+	c.start(p)
+	return p
+}
+
+func (p *process) settings() string { return filepath.Join(p.dir, p.name+".toml") }
+
+func (c *cluster) start(p *process) {
+	log, err := os.OpenFile(filepath.Join(c.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	require.NoError(c.t, err)
+	cmd := exec.Command(c.binary)
+	cmd.Env = append(os.Environ(), "GODWITLOCK_NODE_FILE="+p.settings())
+	cmd.Stdout, cmd.Stderr = log, log
+	require.NoError(c.t, cmd.Start())
+	ended := make(chan struct{})
+	go func() { _ = cmd.Wait(); close(ended) }()
+	p.cmd, p.log, p.ended = cmd, log, ended
+}
+
+// end sends a signal and waits until the process has ended.
+func (p *process) end(sig syscall.Signal) {
+	_ = p.cmd.Process.Signal(sig)
+	select {
+	case <-p.ended:
+	case <-time.After(6 * time.Second):
+		_ = p.cmd.Process.Kill()
+		<-p.ended
+	}
+	_ = p.log.Close()
+}
+
+func (c *cluster) addServer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.next++
+	s := &site.Server{
+		ID: fmt.Sprintf("i-%d", c.next), Service: "ledger", Zone: fmt.Sprintf("z%d", c.next%2),
+		Born: time.Now().UnixMilli(), Work: 30 * time.Millisecond, Keyed: true, Ran: c.check.ran,
+		Late: c.check.late, LoseAnswer: c.check.loseAnswer,
+	}
+	require.NoError(c.t, s.Start())
+	link, err := newProxy(s.Addr())
+	require.NoError(c.t, err)
+	c.servers = append(c.servers, &backend{Server: s, link: link})
+	c.check.add(s)
+}
+
+// beat writes the servers' entries, and removes those that lapsed.
+func (c *cluster) beat() {
+	defer c.done.Done()
+	for {
+		c.mu.Lock()
+		now := time.Now()
+		for _, b := range c.servers {
+			entry := b.Entry()
+			entry["addr"] = b.link.addr()
+			switch {
+			case b.gone || b.cut && now.Sub(b.beat) > lapse:
+				c.store.Delete("servers", b.ID)
+			case !b.cut:
+				b.beat = now
+				c.store.Put("servers", b.ID, entry)
+			}
+		}
+		c.mu.Unlock()
+		select {
+		case <-c.stop:
+			return
+		case <-time.After(heartbeat):
+		}
+	}
+}
+
+// pick calls f with a live server.
+func (c *cluster) pick(n int, f func(*backend)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var live []*backend
+	for _, b := range c.servers {
+		if !b.gone {
+			live = append(live, b)
+		}
+	}
+	if len(live) > 0 {
+		f(live[n%len(live)])
+	}
+}
+
+// heal ends all faults.
+func (c *cluster) heal() {
+	c.store.SetFault(nil)
+	for _, p := range c.procs {
+		p.store.set(pass)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, b := range c.servers {
+		b.cut = false
+		b.link.set(pass)
+	}
+}
+
+func (c *cluster) close() {
+	for _, p := range c.procs {
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		p.end(syscall.SIGKILL)
+		p.store.close()
+	}
+	close(c.stop)
+	c.done.Wait()
+	for _, b := range c.servers {
+		b.Kill()
+		b.link.close()
+	}
+}
+
+// config writes a configuration with the caller keys in force.
+func (c *cluster) config(version int, keys map[string][]string) {
+	var tenants []map[string]any
+	for name, list := range keys {
+		tenants = append(tenants, map[string]any{"name": name, "apiKeys": list, "ratePerS": 500, "burst": 500})
+	}
+	route := func(name, prefix, kind string) map[string]any {
+		return map[string]any{"name": name, "host": "h", "pathPrefix": prefix, "kind": kind,
+			"timeoutS": 1.5, "sloS": 0.5, "priority": 1, "service": "ledger", "attempts": 2}
+	}
+	c.store.Put("config", "main", map[string]any{
+		"version":  version,
+		"routes":   []any{route("read", "/read/", "safe"), route("write", "/write/", "unsafe")},
+		"services": []any{map[string]any{"name": "ledger", "healthPath": "/health", "maxConns": 100, "sharded": true}},
+		"tenants":  tenants,
+	})
+}
+
+// storeFault is a fault of all calls to the store.
+func storeFault(status int, lose bool, delay time.Duration) func(*http.Request) site.Fault {
+	return func(r *http.Request) site.Fault {
+		return site.Fault{Status: status, Lose: lose && r.Method != http.MethodGet, Delay: delay}
+	}
+}
