--- a/placement/load.go
+++ b/placement/load.go
@@ -24,7 +24,7 @@
 	loadMemory = time.Second
 	// workMemory is the number of answers over which the time of work of a
 	// server is averaged, and usualMemory the same for the whole service.
-	workMemory, usualMemory = 16.0, 400.0
+	workMemory, usualMemory = 32.0, 400.0
 	// firstWork is the time of work that is assumed before the first answer,
 	// in seconds.
 	firstWork = 0.15
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -15,9 +15,9 @@
 	fullLoad, overloadWait = 0.9, 6.0
 	// minGain is the least part of its expected time that a moved request has
 	// to gain. Measured times scatter by about that much.
-	minGain = 0.2
+	minGain = 0.3
 	// minLoad is the least load worth moving, in requests per second.
-	minLoad = 0.3
+	minLoad = 0.5
 	// maxMoves bounds the moves of one plan, maxMoving those under way.
 	maxMoves, maxMoving = 6, 16
 	// givers and takers bound the servers that a plan compares.
