Hand the keys over settled at a planned change of the leader; move only what can move at once

Requests were also refused while VMs disagreed on who is home of a customer, and a VM that had led forgot that it was heard.

--- a/fleet/rates.go
+++ b/fleet/rates.go
@@ -15,8 +15,14 @@
 	"godwitlock.example/godwitlock/view"
 )
 
-// takeTimeout bounds the question for a token.
-const takeTimeout = 250 * time.Millisecond
+const (
+	// takeTimeout bounds the question for a token.
+	takeTimeout = 150 * time.Millisecond
+	// homeTries is how often a request asks, and homePause the pause between:
+	// the time in which a new list of VMs reaches all of them.
+	homeTries = 3
+	homePause = 60 * time.Millisecond
+)
 
 // Rates keeps customers within their rates. Its home part answers for the
 // customers whose home is this VM. It implements forward.Rates and is safe for
@@ -77,25 +83,41 @@
 	r.home.Asked(clock.Boot(), vm)
 }
 
-// Take implements forward.Rates.
+// Take implements forward.Rates. While VMs come and go, two of them may not
+// agree for a moment on who is home; a request then asks once more.
 func (r *Rates) Take(ctx context.Context, id topo.CustomerID) errkind.Kind {
+	for try := 0; ; try++ {
+		switch r.takeOnce(ctx, id) {
+		case quota.Granted:
+			return errkind.Unset
+		case quota.Exhausted:
+			return errkind.RateExceeded
+		}
+		if try == homeTries-1 || ctx.Err() != nil {
+			return errkind.NotHome
+		}
+		t := time.NewTimer(homePause)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		t.Stop()
+	}
+}
+
+func (r *Rates) takeOnce(ctx context.Context, id topo.CustomerID) quota.Verdict {
 	homes := r.view.Snapshot().Homes(customerHome(id), "")
 	if len(homes) == 0 {
-		return errkind.NotHome
+		return quota.NotHome
 	}
-	verdict := quota.NotHome
 	if homes[0].VM == r.self {
-		verdict = r.take(r.self, id)
-	} else if v, err := r.ask(ctx, homes[0].Addr, &fleetpb.TakeRequest{Vm: string(r.self), Customer: string(id)}); err == nil {
-		verdict = v
+		return r.take(r.self, id)
 	}
-	switch verdict {
-	case quota.Granted:
-		return errkind.Unset
-	case quota.Exhausted:
-		return errkind.RateExceeded
+	v, err := r.ask(ctx, homes[0].Addr, &fleetpb.TakeRequest{Vm: string(r.self), Customer: string(id)})
+	if err != nil {
+		return quota.NotHome
 	}
-	return errkind.NotHome
+	return v
 }
 
 func (r *Rates) ask(ctx context.Context, addr string, req *fleetpb.TakeRequest) (quota.Verdict, error) {
--- a/leader/lease.go
+++ b/leader/lease.go
@@ -55,6 +55,9 @@
 	Holder Identity `json:"holder"`
 	// Count rises with each extension, so that each one changes the object.
 	Count uint64 `json:"count"`
+	// Settled says, in a lease that was given back, that no order of its
+	// holder can still be carried out.
+	Settled bool `json:"settled,omitempty"`
 }
 
 // Seen is a version of the stored lease.
@@ -102,6 +105,9 @@
 	next            time.Time
 	eager           bool
 	leaving         bool
+	settled         bool
+	// handedOver says that the lease was taken from a settled holder.
+	handedOver bool
 }
 
 // New returns the state of a process that has read nothing yet. It leaves a
@@ -116,6 +122,10 @@
 	return l.current.Record.Term, true
 }
 
+// HandedOver reports whether the lease was taken from a holder none of whose
+// orders can still be carried out.
+func (l *Lease) HandedOver() bool { return l.handedOver }
+
 // Until returns the end of the lease that the process holds.
 func (l *Lease) Until() time.Time { return l.until }
 
@@ -126,8 +136,9 @@
 func (l *Lease) Version() uint64 { return l.current.Version }
 
 // Resign gives the lease back at the next step and never takes it again.
-func (l *Lease) Resign(now time.Time) {
-	l.leaving = true
+// Settled says that no order of the holder can still be carried out.
+func (l *Lease) Resign(now time.Time, settled bool) {
+	l.leaving, l.settled = true, settled
 	l.next = now
 }
 
@@ -146,6 +157,7 @@
 	if l.leaving || !l.free(now) {
 		return Step{Action: Read}
 	}
+	l.handedOver = l.current.Record.Settled
 	record := Record{Term: l.current.Record.Term + 1, Holder: l.self}
 	return l.write(now, record)
 }
@@ -155,7 +167,7 @@
 	record := l.current.Record
 	record.Count++
 	if l.leaving {
-		record.Holder = Identity{}
+		record.Holder, record.Settled = Identity{}, l.settled
 		l.until = time.Time{}
 	}
 	return l.write(now, record)
--- a/leader/lease_test.go
+++ b/leader/lease_test.go
@@ -92,10 +92,11 @@
 	s := &fakeStore{}
 	l := New(identity("a"), 0)
 	acquire(t, l, s, start)
-	l.Resign(start)
+	l.Resign(start, true)
 	step := l.Next(start)
 	require.Equal(t, Write, step.Action)
 	require.Equal(t, Identity{}, step.Next.Holder)
+	require.True(t, step.Next.Settled)
 	require.True(t, s.put(step.Version, step.Next))
 	l.Written(start, step.Next, s.version)
 	for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(100 * time.Millisecond) {
@@ -106,6 +107,17 @@
 	}
 }
 
+// Guards against a successor that waits for orders that all had an answer, or
+// that takes a crash for a planned stop.
+func TestSettledLeaseIsHandedOver(t *testing.T) {
+	for _, settled := range []bool{true, false} {
+		l := New(identity("b"), 0)
+		l.Observed(start, Seen{Record: Record{Term: 3, Settled: settled}, Version: 9})
+		require.Equal(t, Write, l.Next(start).Action)
+		require.Equal(t, settled, l.HandedOver())
+	}
+}
+
 // process is a lease with writes that are on their way.
 type process struct {
 	lease *Lease
--- a/node/assigner.go
+++ b/node/assigner.go
@@ -32,6 +32,8 @@
 	firstServers = 1500 * time.Millisecond
 	// tableCallTimeout bounds a call for a table.
 	tableCallTimeout = time.Second
+	// settleTime bounds how long a stopping leader waits for its last orders.
+	settleTime = 800 * time.Millisecond
 	// ordersAtOnce bounds the orders on their way.
 	ordersAtOnce = 96
 )
@@ -52,10 +54,12 @@
 	told    uint64
 	planned time.Time
 	context context.Context
+	// settling asks Run to end its work as a leader.
+	settling chan chan bool
 }
 
 func newAssigner(n *Node, l *loads) *assigner {
-	return &assigner{node: n, loads: l, results: ring.New[func()](2*ordersAtOnce, ring.Block)}
+	return &assigner{node: n, loads: l, results: ring.New[func()](2*ordersAtOnce, ring.Block), settling: make(chan chan bool)}
 }
 
 // Run assigns keys whenever this VM leads, until ctx ends.
@@ -90,6 +94,12 @@
 	t := time.NewTicker(assignInterval)
 	defer t.Stop()
 	for a.leads() && ctx.Err() == nil {
+		select {
+		case done := <-a.settling:
+			done <- a.settle()
+			return
+		default:
+		}
 		a.round()
 		select {
 		case <-t.C:
@@ -101,6 +111,41 @@
 	}
 }
 
+// Settle ends the work of a leader that is about to give its lease back. It
+// reports whether no order can still be carried out.
+func (a *assigner) Settle(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, settleTime)
+	defer cancel()
+	done := make(chan bool, 1)
+	select {
+	case a.settling <- done:
+	case <-ctx.Done():
+		return false
+	}
+	return <-done
+}
+
+// settle sends no more orders and waits until those on their way have ended.
+func (a *assigner) settle() bool {
+	t := time.NewTimer(settleTime)
+	defer t.Stop()
+	for a.onWay > 0 {
+		select {
+		case f := <-a.results.C():
+			f()
+		case <-t.C:
+			return false
+		}
+	}
+	now := clock.Boot()
+	for _, m := range a.machines {
+		if !m.Settled(now) {
+			return false
+		}
+	}
+	return a.leads()
+}
+
 func (a *assigner) drainResults() {
 	for {
 		select {
@@ -128,6 +173,7 @@
 		a.node.log.Event("tables_unread").Err(err).Send()
 		return false
 	}
+	settled := a.node.lease.HandedOver()
 	for _, o := range l.Objects {
 		t, err := keyrange.Decode(o.Value)
 		if err != nil {
@@ -143,8 +189,9 @@
 			a.node.log.Event("table_unwritten").Str("service", string(t.Service)).Err(err).Send()
 			return false
 		}
-		a.machines[t.Service] = ownership.New(start, t, version, a.node.set.Bounds.MaxHold)
-		a.node.log.Event("table_adopted").Str("service", string(t.Service)).Int("ranges", len(t.Ranges)).Send()
+		a.machines[t.Service] = ownership.New(start, t, version, a.node.set.Bounds.MaxHold, settled)
+		a.node.log.Event("table_adopted").Str("service", string(t.Service)).Int("ranges", len(t.Ranges)).
+			Bool("settled", settled).Send()
 	}
 	return true
 }
@@ -226,7 +273,7 @@
 	}
 	if now.Sub(since) >= firstServers {
 		t := &keyrange.Table{Service: svc.Name, Term: a.term, NextFence: 1}
-		a.machines[svc.Name] = ownership.New(now, t, store.MustNotExist, a.node.set.Bounds.MaxHold)
+		a.machines[svc.Name] = ownership.New(now, t, store.MustNotExist, a.node.set.Bounds.MaxHold, true)
 	}
 }
 
@@ -261,10 +308,10 @@
 }
 
 // pieces returns a machine's holds for the placement.
-func pieces(m *ownership.Machine) []placement.Piece {
+func pieces(now time.Time, m *ownership.Machine) []placement.Piece {
 	out := make([]placement.Piece, 0, len(m.Holds()))
 	for _, h := range m.Holds() {
-		p := placement.Piece{First: h.First, Last: h.Last, Owner: h.Server, Fixed: h.Phase != ownership.Held}
+		p := placement.Piece{First: h.First, Last: h.Last, Owner: h.Server, Fixed: !h.Movable(now)}
 		if h.Phase != ownership.Held {
 			p.Owner = h.Target
 		}
@@ -288,7 +335,7 @@
 		target := h.Target
 		if target == "" || snap.Usable(target) == nil {
 			a.loads.with(svc.Name, func(l *placement.Load) {
-				target, _ = placement.Target(l, servers, pieces(m), h.First, h.Last)
+				target, _ = placement.Target(l, servers, pieces(now, m), h.First, h.Last)
 			})
 		}
 		h.Target = target
@@ -394,7 +441,7 @@
 		}
 		a.loads.with(svc.Name, func(l *placement.Load) {
 			l.Decay(now)
-			for _, mv := range placement.Plan(l, servers, pieces(m)) {
+			for _, mv := range placement.Plan(l, servers, pieces(now, m)) {
 				a.node.log.Event("keys_moving").Str("service", string(svc.Name)).Uint16("first", mv.First).
 					Uint16("last", mv.Last).Str("to", string(mv.Target)).Float64("load", l.Between(mv.First, mv.Last)).Send()
 				m.Vacate(mv.First, mv.Last, mv.Target)
--- a/node/lease.go
+++ b/node/lease.go
@@ -68,10 +68,19 @@
 	d.lease.Heard(clock.Boot(), term, version)
 }
 
-// Resign gives the lease back and never takes it again.
-func (d *leaseDuty) Resign() {
+// HandedOver reports whether the lease was taken from a holder none of whose
+// orders can still be carried out.
+func (d *leaseDuty) HandedOver() bool {
 	d.mu.Lock()
-	d.lease.Resign(clock.Boot())
+	defer d.mu.Unlock()
+	return d.lease.HandedOver()
+}
+
+// Resign gives the lease back and never takes it again. Settled says that no
+// order of this process can still be carried out.
+func (d *leaseDuty) Resign(settled bool) {
+	d.mu.Lock()
+	d.lease.Resign(clock.Boot(), settled)
 	d.mu.Unlock()
 	select {
 	case d.wake <- struct{}{}:
--- a/node/node.go
+++ b/node/node.go
@@ -73,6 +73,7 @@
 	grpc     *grpc.Server
 	loads    *loads
 	rates    *fleet.Rates
+	assigner *assigner
 	calls    storeCalls
 
 	addresses addressBook
@@ -110,6 +111,7 @@
 		yieldTime(n.set.CPUShare), n.log, n.relayStale)
 	n.follower = fleet.NewFollower(self, boot, n.view, n.peers, n.setConfig, n.lease.Heard)
 	n.loads = newLoads(n.view)
+	n.assigner = newAssigner(n, n.loads)
 	n.hub = fleet.NewHub(n.view, self, n.lease.Leads, n.lease.Version, n.view.Confirmed, n.loads)
 	n.watching = n.watchers()
 	n.reports = newReports(n.set.VM, n.metrics)
@@ -265,7 +267,7 @@
 		{"follow", n.runFollow},
 		{"reports", n.runReports},
 		{"rates", n.runRates},
-		{"assigner", newAssigner(n, n.loads).Run},
+		{"assigner", n.assigner.Run},
 		{"home", n.broker.Run},
 		{"fallback", n.fallback.Run},
 		{"sweep", n.runSweep},
--- a/node/stop.go
+++ b/node/stop.go
@@ -23,8 +23,14 @@
 	begin := time.Now()
 	n.stopping.Store(true)
 	n.log.Event("stopping").Int("connections", n.ingress.Open()).Send()
-	n.lease.Resign()
 	n.ingress.Drain()
+	if _, leads := n.lease.Leads(); leads {
+		settled := n.assigner.Settle(ctx)
+		n.log.Event("settled").Bool("settled", settled).Send()
+		n.lease.Resign(settled)
+	} else {
+		n.lease.Resign(false)
+	}
 	pause(ctx, min(balancerTime, n.set.Bounds.StopWithin/2))
 	_ = n.callers.Close()
 	n.ingress.CloseIdle()
--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -153,14 +153,21 @@
 
 // New returns the machine of a leader whose lease began at start, from the
 // table that the store holds under version.
-func New(start time.Time, table *keyrange.Table, version uint64, maxHold time.Duration) *Machine {
+//
+// Settled says that the last leader gave its lease back when each of its orders
+// had an answer, so that none can still be carried out.
+func New(start time.Time, table *keyrange.Table, version uint64, maxHold time.Duration, settled bool) *Machine {
 	m := &Machine{
 		table: table, version: version,
 		holdTime: min(HoldTime, maxHold), changes: 1,
 	}
 	end := start.Add(m.longest() + transit)
+	unanswered := end
+	if settled {
+		unanswered = time.Time{}
+	}
 	for _, r := range table.Ranges {
-		m.holds = append(m.holds, &Hold{Range: r, Phase: Held, bound: end, unanswered: end})
+		m.holds = append(m.holds, &Hold{Range: r, Phase: Held, bound: end, unanswered: unanswered})
 	}
 	return m
 }
@@ -241,6 +248,22 @@
 	}
 }
 
+// Movable reports whether the hold's keys could go to another owner as soon as
+// they are released: no order without an answer is left that may still be
+// carried out.
+func (h *Hold) Movable(now time.Time) bool { return h.Phase == Held && now.After(h.unanswered) }
+
+// Settled reports whether every order of this leader has an answer or can no
+// longer be carried out.
+func (m *Machine) Settled(now time.Time) bool {
+	for _, h := range m.holds {
+		if h.inFlight || !now.After(h.unanswered) {
+			return false
+		}
+	}
+	return true
+}
+
 // Assign gives the keys of a free hold to an owner, unless a write of the table
 // is in progress. The caller then stores the table returned by Pending.
 func (m *Machine) Assign(h *Hold, owner keyrange.Owner) bool {
--- a/ownership/machine_test.go
+++ b/ownership/machine_test.go
@@ -22,7 +22,7 @@
 // single returns a machine that has granted all keys to ownerA.
 func single(t *testing.T) (*Machine, time.Time) {
 	t.Helper()
-	m := New(start, &keyrange.Table{Service: "s", NextFence: 1}, 0, 10*time.Second)
+	m := New(start, &keyrange.Table{Service: "s", NextFence: 1}, 0, 10*time.Second, false)
 	m.Fill([]keyrange.Range{{First: 0, Last: keyrange.MaxKey, Owner: ownerA}})
 	_, _, ok := m.Pending()
 	require.True(t, ok)
@@ -123,7 +123,7 @@
 // predecessor may still be carried out.
 func TestNewLeaderWaitsForItsPredecessorsOrders(t *testing.T) {
 	table := (&keyrange.Table{Service: "s", NextFence: 1}).Assign(0, keyrange.MaxKey, ownerA)
-	m := New(start, table, 7, 10*time.Second)
+	m := New(start, table, 7, 10*time.Second, false)
 	m.Vacate(0, keyrange.MaxKey, "b")
 	orders := m.Tick(start, usable)
 	m.Result(start, orders[0], Done, "handed")
@@ -132,6 +132,28 @@
 	require.Equal(t, []Phase{Free}, phases(m))
 }
 
+// Guards against keys that stay where they are after a planned change of the
+// leader, and against a leader that calls itself settled too early.
+func TestSettledLeaderHandsOver(t *testing.T) {
+	m, now := single(t)
+	require.True(t, m.Settled(now))
+	now = now.Add(RenewInterval)
+	orders := m.Tick(now, usable)
+	require.False(t, m.Settled(now), "an order is under way")
+	m.Result(now, orders[0], Unanswered, "")
+	require.False(t, m.Settled(now), "an order may still be carried out")
+	require.False(t, m.Holds()[0].Movable(now))
+	require.True(t, m.Settled(now.Add(HoldTime+time.Second)))
+
+	table := (&keyrange.Table{Service: "s", NextFence: 1}).Assign(0, keyrange.MaxKey, ownerA)
+	next := New(start, table, 7, 10*time.Second, true)
+	require.True(t, next.Holds()[0].Movable(start))
+	next.Vacate(0, keyrange.MaxKey, "b")
+	orders = next.Tick(start, usable)
+	next.Result(start, orders[0], Done, "handed")
+	require.Equal(t, []Phase{Free}, phases(next))
+}
+
 // Guards against a new life of a server that is treated as the old one: it
 // holds nothing, and needs a higher fence.
 func TestNewLifeGetsANewFence(t *testing.T) {
@@ -210,7 +232,7 @@
 		servers := map[keyrange.Owner]*server{ownerA: newServer(), ownerB: newServer()}
 		stored := &keyrange.Table{Service: "s", NextFence: 1}
 		version := uint64(0)
-		m := New(start, stored, version, 10*time.Second)
+		m := New(start, stored, version, 10*time.Second, false)
 		now := start
 		var delayed []late
 		for range 400 {
@@ -224,7 +246,7 @@
 			}
 			switch rapid.IntRange(0, 19).Draw(t, "what") {
 			case 0: // another leader, which knows only the store
-				m = New(now, stored, version, 10*time.Second)
+				m = New(now, stored, version, 10*time.Second, m.Settled(now))
 			case 1, 2:
 				first := rapid.SampledFrom(keys).Draw(t, "first")
 				m.Vacate(first, keyrange.MaxKey, "")
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -95,7 +95,11 @@
 
 // Heard records that the leader answered a request that was sent at a time, or
 // that this VM led then.
-func (h *Home) Heard(sent time.Time) { h.heard = sent }
+func (h *Home) Heard(sent time.Time) {
+	if sent.After(h.heard) {
+		h.heard = sent
+	}
+}
 
 // Asked records that a VM reached this one.
 func (h *Home) Asked(now time.Time, vm topo.VMID) { h.asked[vm] = now }
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -95,6 +95,7 @@
 	require.Equal(t, NotHome, h.Take(start, "a", customer))
 	h.SetCustomers(start, customers(Allowance{Rate: 10, Burst: 5}), 1)
 	h.Heard(start)
+	h.Heard(time.Time{}) // this VM led and never followed
 	require.Equal(t, Exhausted, h.Take(start, "a", customer))
 	now := start.Add(900 * time.Millisecond)
 	for range 5 {
