--- a/cmd/godwitlock-node/main.go
+++ b/cmd/godwitlock-node/main.go
@@ -26,7 +26,6 @@
 
 func run() error {
 	debug.SetGCPercent(garbagePercent)
-	signal.Ignore(syscall.SIGPIPE)
 	set, err := platform.LoadSettings(os.Getenv(platform.SettingsEnv))
 	if err != nil {
 		return err
@@ -37,5 +36,29 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	go n.WatchSettings(ctx, hangups(ctx), func() (node.Settings, error) {
+		return platform.LoadSettings(os.Getenv(platform.SettingsEnv))
+	})
 	return n.Run(ctx)
 }
+
+// hangups delivers once for each SIGHUP until ctx ends.
+func hangups(ctx context.Context) <-chan struct{} {
+	signals, out := make(chan os.Signal, 1), make(chan struct{})
+	signal.Notify(signals, syscall.SIGHUP)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-signals:
+			}
+			select {
+			case out <- struct{}{}:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return out
+}
--- a/node/assigner.go
+++ b/node/assigner.go
@@ -189,7 +189,7 @@
 			a.node.log.Event("table_unwritten").Str("service", string(t.Service)).Err(err).Send()
 			return false
 		}
-		a.machines[t.Service] = ownership.New(start, t, version, a.node.set.Bounds.MaxHold, settled)
+		a.machines[t.Service] = ownership.New(start, t, version, a.node.bounds().MaxHold, settled)
 		a.node.log.Event("table_adopted").Str("service", string(t.Service)).Int("ranges", len(t.Ranges)).
 			Bool("settled", settled).Send()
 	}
@@ -273,7 +273,7 @@
 	}
 	if now.Sub(since) >= firstServers {
 		t := &keyrange.Table{Service: svc.Name, Term: a.term, NextFence: 1}
-		a.machines[svc.Name] = ownership.New(now, t, store.MustNotExist, a.node.set.Bounds.MaxHold, true)
+		a.machines[svc.Name] = ownership.New(now, t, store.MustNotExist, a.node.bounds().MaxHold, true)
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -39,7 +39,7 @@
 	// relaySilent is how long the leader may be silent, and relayOld how old
 	// its knowledge may be, before a VM reads the store itself.
 	relaySilent = 900 * time.Millisecond
-	relayOld    = 2600 * time.Millisecond
+	relayOld    = 2 * time.Second
 	// followRetry is the pause after a failed call to the leader.
 	followRetry = 120 * time.Millisecond
 	// fallbackDivisor divides the slots of servers whose home VMs do not
@@ -57,6 +57,7 @@
 // Node is one VM's process.
 type Node struct {
 	set      Settings
+	inForce  atomic.Pointer[Bounds]
 	platform Platform
 	log      *declog.Log
 	metrics  *metric.Set
@@ -86,6 +87,7 @@
 // Listen claims the addresses of a node. It fails at once when one is in use.
 func Listen(set Settings, p Platform) (*Node, error) {
 	n := &Node{set: set, platform: p, view: view.New(), metrics: metric.New()}
+	n.inForce.Store(&set.Bounds)
 	n.log = declog.New(os.Stdout, string(set.VM))
 	for _, l := range []struct {
 		addr string
@@ -124,7 +126,7 @@
 	fwd := forward.New(forward.Config{
 		View: n.view, Egress: n.egress, Rates: n.rates, Stats: n.reports, Log: n.log, Fresh: n.fresh,
 		Slots:   fleet.NewSlots(n.set.VM, n.set.DataCentre, n.peers, n.broker, n.fallback),
-		Budgets: forward.NewBudgets(n.set.Bounds.RetryShare*retryShareUsed, n.retrySlack),
+		Budgets: forward.NewBudgets(n.bounds().RetryShare*retryShareUsed, n.retrySlack),
 	})
 	n.ingress = ingress.NewServer(n.platform.CallerHeaders(), fwd.Serve, n.callerLimits)
 	n.grpc = grpc.NewServer()
@@ -149,7 +151,7 @@
 
 // retrySlack is this VM's part of the retries that are allowed in any case.
 func (n *Node) retrySlack() float64 {
-	return (n.set.Bounds.RetrySlack * retrySlackUsed / float64(max(1, len(n.view.Snapshot().Members))))
+	return (n.bounds().RetrySlack * retrySlackUsed / float64(max(1, len(n.view.Snapshot().Members))))
 }
 
 // callerLimits returns the limits of the configuration in force.
@@ -186,7 +188,7 @@
 // fresh reports whether the configuration is new enough to accept caller keys.
 func (n *Node) fresh() bool {
 	age := clock.Boot().Sub(n.view.Confirmed())
-	return age < n.set.Bounds.WithdrawWithin-freshnessMargin
+	return age < n.bounds().WithdrawWithin-freshnessMargin
 }
 
 // relayStale reports whether the leader is not heard, or does not know the
--- a/node/reports.go
+++ b/node/reports.go
@@ -149,7 +149,7 @@
 // deployment allows beyond the rate, since requests reach a home a little later
 // than they were sent.
 func (n *Node) allowance(c *routemap.Customer) quota.Allowance {
-	b := &n.set.Bounds
+	b := n.bounds()
 	over := b.RateOverrun*(c.Rate*b.RateWindow.Seconds()+c.Burst)*rateOverrunUsed + b.RateSlack*rateSlackUsed
 	return quota.Allowance{Rate: c.Rate, Burst: c.Burst + over}
 }
--- a/node/stop.go
+++ b/node/stop.go
@@ -31,10 +31,10 @@
 	} else {
 		n.lease.Resign(false)
 	}
-	pause(ctx, min(balancerTime, n.set.Bounds.StopWithin/2))
+	pause(ctx, min(balancerTime, n.bounds().StopWithin/2))
 	_ = n.callers.Close()
 	n.ingress.CloseIdle()
-	wait, cancel := context.WithDeadline(ctx, begin.Add(n.set.Bounds.StopWithin-stopReserve))
+	wait, cancel := context.WithDeadline(ctx, begin.Add(n.bounds().StopWithin-stopReserve))
 	defer cancel()
 	for n.ingress.Open() > 0 && wait.Err() == nil {
 		pause(wait, stopCheck)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -182,7 +182,7 @@
 	for time.Now().Before(until) {
 		p := c.procs[rng.IntN(len(c.procs))]
 		pick, m := rng.IntN(100), []mode{slow, silent, mute, closed}[rng.IntN(4)]
-		switch rng.IntN(12) {
+		switch rng.IntN(13) {
 		case 0:
 			p.end(syscall.SIGKILL)
 			c.start(p)
@@ -193,6 +193,8 @@
 			cmd := p.cmd
 			_ = cmd.Process.Signal(syscall.SIGSTOP)
 			later(func() { _ = cmd.Process.Signal(syscall.SIGCONT) })
+		case 12:
+			_ = p.cmd.Process.Signal(syscall.SIGHUP)
 		case 3, 4:
 			p.store.set(m)
 			later(func() { p.store.set(pass) })
