forward: don't send a request whose caller has left while it waited

Change: waiting ends with the caller; only what was sent is left to finish. Test: TestRequestOfACallerThatLeftIsNotSent (hangs before).

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -44,9 +44,14 @@
 // did not run.
 func (f *Forwarder) run(ctx context.Context, r *request) (ans *ingress.Answer, ran bool) {
 	work, cancel := f.workContext(ctx, r)
+	// Whatever waits for an owner or a slot ends when the caller is gone, also
+	// a request that would be left to finish once it was sent.
+	waiting, stopWaiting := context.WithCancel(ctx)
+	defer stopWaiting()
+	defer context.AfterFunc(work, stopWaiting)()
 	wait := false
 	for {
-		server, ref := f.attemptSlot(work, r, wait)
+		server, ref := f.attemptSlot(waiting, r, wait)
 		if ref != nil {
 			cancel()
 			kind := r.attempts.Truthful(ref.kind)
@@ -188,6 +193,10 @@
 		slot.Finish(permit.Result{})
 		return held{}, &refusal{errkind.NoOwner, retrySoon, "server left"}
 	}
+	if ctx.Err() != nil {
+		slot.Finish(permit.Result{})
+		return held{}, &refusal{errkind.QueueFull, retrySoon, "no time left"}
+	}
 	if r.customer != nil && !f.Fresh() {
 		slot.Finish(permit.Result{})
 		return held{}, &refusal{errkind.FreshnessLost, retrySoon, "configuration may be old"}
--- /dev/null
+++ b/forward/forward_test.go
@@ -0,0 +1,232 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitlock.example/godwitlock/declog"
+	"godwitlock.example/godwitlock/directory"
+	"godwitlock.example/godwitlock/egress"
+	"godwitlock.example/godwitlock/errkind"
+	"godwitlock.example/godwitlock/ingress"
+	"godwitlock.example/godwitlock/keyrange"
+	"godwitlock.example/godwitlock/permit"
+	"godwitlock.example/godwitlock/routemap"
+	"godwitlock.example/godwitlock/topo"
+	"godwitlock.example/godwitlock/view"
+)
+
+// fakeSlots grants a slot when release is closed; nil grants at once.
+type fakeSlots struct {
+	release chan struct{}
+	asked   chan struct{}
+}
+
+type fakeSlot struct{}
+
+func (fakeSlot) Finish(permit.Result) {}
+
+func (f *fakeSlots) Acquire(ctx context.Context, _ *view.Snapshot, pool string, _ permit.Request) (Slot, permit.Decision) {
+	if f.asked != nil {
+		close(f.asked)
+	}
+	if f.release != nil {
+		select {
+		case <-f.release:
+		case <-ctx.Done():
+			return nil, permit.Decision{Verdict: permit.Refused}
+		}
+	}
+	return fakeSlot{}, permit.Decision{Verdict: permit.Granted, Server: "s1"}
+}
+
+type fakeRates struct{ returned int }
+
+func (*fakeRates) Take(context.Context, topo.CustomerID) errkind.Kind { return errkind.Unset }
+func (f *fakeRates) Return(topo.CustomerID)                           { f.returned++ }
+
+type fakeStats struct{}
+
+func (fakeStats) Arrived(topo.ServiceName, keyrange.Key)       {}
+func (fakeStats) Worked(topo.ServerID, time.Duration)          {}
+func (fakeStats) Answered(route, kind string, d time.Duration) {}
+
+// bench is a forwarder in front of one server.
+type bench struct {
+	*Forwarder
+	view  *view.View
+	slots *fakeSlots
+	rates *fakeRates
+	fresh bool
+	// ran counts requests that reached the server.
+	ran chan *http.Request
+}
+
+// newBench returns a forwarder whose server answers with reply, after the
+// status line and id.
+func newBench(t *testing.T, reply func(id string) string) *bench {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = lis.Close() })
+	b := &bench{view: view.New(), slots: &fakeSlots{}, rates: &fakeRates{}, fresh: true, ran: make(chan *http.Request, 16)}
+	go func() {
+		for {
+			nc, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = nc.Close() }()
+				br := bufio.NewReader(nc)
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					b.ran <- r
+					text := reply(r.Header.Get("Request-Id"))
+					if text == "" {
+						return
+					}
+					_, _ = io.WriteString(nc, text)
+				}
+			}()
+		}
+	}()
+	m, err := routemap.Compile(routemap.Config{
+		Version: 1,
+		Routes: []routemap.Route{
+			{Name: "w", Host: "h", PathPrefix: "/w/", Kind: routemap.NonIdempotent, Timeout: 2 * time.Second,
+				Objective: time.Second, Attempts: 3, Parts: []routemap.Part{{Service: "s", Weight: 1}}},
+			{Name: "r", Host: "h", PathPrefix: "/r/", Kind: routemap.Idempotent, Timeout: 2 * time.Second,
+				Objective: time.Second, Attempts: 3, Parts: []routemap.Part{{Service: "s", Weight: 1}}},
+		},
+		Services:  []routemap.Service{{Name: "s", Keyed: true}},
+		Customers: []routemap.Customer{{ID: "c", Keys: []string{"k"}, Rate: 10, Burst: 10}},
+	})
+	require.NoError(t, err)
+	b.view.SetConfig(m, nil, 1)
+	b.view.Directory(func(d *directory.Directory) {
+		d.Put(directory.Server{ID: "s1", Service: "s", Addr: lis.Addr().String(), Slots: 1, State: directory.Ready, Rev: 1})
+	})
+	b.own(keyrange.Owned, 1)
+	b.Forwarder = New(Config{
+		View: b.view, Slots: b.slots, Rates: b.rates, Stats: fakeStats{}, Log: declog.New(io.Discard, "vm"),
+		Fresh: func() bool { return b.fresh }, Budgets: NewBudgets(0.5, func() float64 { return 10 }),
+		Egress: egress.New(egress.Headers{
+			RequestID: "Request-Id", DeadlineMS: "Deadline-Ms", Customer: "Customer", ExpectServer: "Expect-Server",
+			NotRun: "Not-Run", Seal: "Seal",
+		}),
+	})
+	return b
+}
+
+// own publishes a table in which the server owns all keys.
+func (b *bench) own(state keyrange.State, version uint64) {
+	t := &keyrange.Table{Service: "s", Ranges: []keyrange.Range{
+		{First: 0, Last: keyrange.MaxKey, Owner: keyrange.Owner{Server: "s1"}, State: state}}}
+	b.view.SetTables(view.TableVersion{Term: 1, Version: version}, map[topo.ServiceName]*keyrange.Table{"s": t})
+}
+
+func order(path string) *ingress.Request {
+	return &ingress.Request{
+		ID: "x", Method: "POST", URI: path, Path: path, Host: "h", CallerKey: "k", HasKey: true, Key: 7,
+		Header: http.Header{"Request-Id": {"x"}}, Arrived: time.Now(),
+	}
+}
+
+func ok(id string) string {
+	return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nSeal: s\r\nContent-Length: 4\r\n\r\nbody"
+}
+
+// Guards against a request that is sent after its caller has left, although it
+// may finish once it was sent.
+func TestRequestOfACallerThatLeftIsNotSent(t *testing.T) {
+	b := newBench(t, ok)
+	b.slots.release, b.slots.asked = make(chan struct{}), make(chan struct{})
+	ctx, leave := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { b.Serve(ctx, order("/w/1")); close(done) }()
+	<-b.slots.asked
+	leave()
+	<-done
+	close(b.slots.release)
+	require.Empty(t, b.ran)
+	require.Equal(t, 1, b.rates.returned)
+}
+
+// Guards against an answer that is changed on its way, and a caller key that
+// reaches a server.
+func TestAnswerIsPassedOn(t *testing.T) {
+	b := newBench(t, ok)
+	ans := b.Serve(context.Background(), order("/w/1"))
+	require.Equal(t, 200, ans.Status)
+	require.Equal(t, "body", string(ans.Body))
+	require.Equal(t, "s", ans.Header.Get("Seal"))
+	r := <-b.ran
+	require.Equal(t, "c", r.Header.Get("Customer"))
+	require.Equal(t, "s1", r.Header.Get("Expect-Server"))
+	for _, v := range r.Header {
+		require.NotContains(t, v, "k")
+	}
+}
+
+// Guards against a second run of a request that is not repeatable when its
+// answer is lost, and a "not run" that is not true.
+func TestLostAnswerOfAnOrderIsUnknown(t *testing.T) {
+	b := newBench(t, func(string) string { return "" })
+	ans := b.Serve(context.Background(), order("/w/1"))
+	require.Equal(t, http.StatusBadGateway, ans.Status)
+	require.Empty(t, ans.Header.Get("Retry-After"))
+	require.Len(t, b.ran, 1)
+	require.Zero(t, b.rates.returned)
+	b = newBench(t, func(string) string { return "" })
+	b.Serve(context.Background(), order("/r/1"))
+	require.Len(t, b.ran, 3, "a repeatable request is sent again")
+}
+
+// Guards against a success without the server's seal.
+func TestSuccessNeedsTheSeal(t *testing.T) {
+	b := newBench(t, func(id string) string {
+		return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nContent-Length: 4\r\n\r\nbody"
+	})
+	require.Equal(t, http.StatusBadGateway, b.Serve(context.Background(), order("/w/1")).Status)
+}
+
+// Guards against requests that run while the configuration may be too old, for
+// a wrong key, or on a route that does not exist.
+func TestWhoIsAdmitted(t *testing.T) {
+	b := newBench(t, ok)
+	wrong := order("/w/1")
+	wrong.CallerKey = "other"
+	require.Equal(t, 401, b.Serve(context.Background(), wrong).Status)
+	require.Equal(t, 404, b.Serve(context.Background(), order("/none/")).Status)
+	b.fresh = false
+	for _, path := range []string{"/w/1", "/none/"} {
+		ans := b.Serve(context.Background(), call(path))
+		require.Equal(t, 503, ans.Status)
+		require.NotEmpty(t, ans.Header.Get("Retry-After"))
+	}
+	require.Empty(t, b.ran)
+}
+
+// Guards against requests for keys without an owner that wait to no purpose,
+// and against ones for keys in motion that are refused at once.
+func TestKeysBetweenOwners(t *testing.T) {
+	b := newBench(t, ok)
+	b.own(keyrange.Orphaned, 2)
+	began := time.Now()
+	require.Equal(t, 503, b.Serve(context.Background(), order("/w/1")).Status)
+	require.Less(t, time.Since(began), ownerWait)
+	b.own(keyrange.Moving, 3)
+	go func() { time.Sleep(50 * time.Millisecond); b.own(keyrange.Owned, 4) }()
+	require.Equal(t, 200, b.Serve(context.Background(), order("/w/1")).Status)
+}
