--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -211,7 +211,7 @@
 	require.Equal(t, 404, b.Serve(context.Background(), order("/none/")).Status)
 	b.fresh = false
 	for _, path := range []string{"/w/1", "/none/"} {
-		ans := b.Serve(context.Background(), call(path))
+		ans := b.Serve(context.Background(), order(path))
 		require.Equal(t, 503, ans.Status)
 		require.NotEmpty(t, ans.Header.Get("Retry-After"))
 	}
