Large VMs lead; VMs that read the store themselves do so at the fleet's pace

Change: VMs tell their share of a core; a smaller one leaves a free lease to larger ones for up to 1 s. Watches of VMs that don't hear the leader pause in proportion to the fleet.

--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -96,7 +96,7 @@
 	at := f.view.Tables()
 	req := &fleetpb.FollowRequest{
 		Vm: string(f.self.VM), Boot: f.boot, DataCentre: string(f.self.DataCentre), Addr: f.self.Addr, Leaving: leaving,
-		ConfigRev: configRev, TableVersion: at.Version, WaitMs: FollowWait.Milliseconds(),
+		ConfigRev: configRev, TableVersion: at.Version, WaitMs: FollowWait.Milliseconds(), CpuShare: f.self.CPUShare,
 	}
 	f.view.Directory(func(d *directory.Directory) { req.ServersRev = d.Rev() })
 	f.mu.Lock()
@@ -182,6 +182,7 @@
 	for _, m := range resp.GetMembers() {
 		out = append(out, view.Member{
 			VM: topo.VMID(m.GetVm()), Addr: m.GetAddr(), DataCentre: topo.DataCentreName(m.GetDataCentre()),
+			CPUShare: m.GetCpuShare(),
 		})
 	}
 	return out
--- a/fleet/hub.go
+++ b/fleet/hub.go
@@ -22,8 +22,8 @@
 	// collectTime is how long a new leader hears VMs before it tells their
 	// list: a call of Follow and a retry.
 	collectTime = 700 * time.Millisecond
-	// memberTTL is how long a VM counts as alive after it was heard. It
-	// leaves two calls of Follow.
+	// memberTTL is how long a VM counts as alive after it was heard, with two
+	// paces more. It leaves two calls of Follow.
 	memberTTL = 1300 * time.Millisecond
 )
 
@@ -98,8 +98,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	gone := false
+	ttl := memberTTL + time.Duration(len(h.members))*2*pacePerVM
 	for id, m := range h.members {
-		if now.Sub(m.seen) > memberTTL {
+		if now.Sub(m.seen) > ttl {
 			delete(h.members, id)
 			gone = true
 		}
@@ -145,7 +146,7 @@
 		}
 		return
 	}
-	m := view.Member{VM: id, Addr: req.GetAddr(), DataCentre: topo.DataCentreName(req.GetDataCentre())}
+	m := view.Member{VM: id, Addr: req.GetAddr(), DataCentre: topo.DataCentreName(req.GetDataCentre()), CPUShare: req.GetCpuShare()}
 	old := h.members[id]
 	h.members[id] = &member{Member: m, seen: now}
 	if old == nil || old.Member != m {
@@ -227,7 +228,7 @@
 	if out.MembersVersion = h.version; h.collected && h.version != req.GetMembersVersion() {
 		for _, m := range h.list() {
 			out.Members = append(out.Members, &fleetpb.Member{
-				Vm: string(m.VM), Addr: m.Addr, DataCentre: string(m.DataCentre),
+				Vm: string(m.VM), Addr: m.Addr, DataCentre: string(m.DataCentre), CpuShare: m.CPUShare,
 			})
 		}
 	}
--- a/leader/lease.go
+++ b/leader/lease.go
@@ -122,6 +122,9 @@
 	return l.current.Record.Term, true
 }
 
+// SetYield changes the time for which a free lease is left to others.
+func (l *Lease) SetYield(yield time.Duration) { l.yield = yield }
+
 // HandedOver reports whether the lease was taken from a holder none of whose
 // orders can still be carried out.
 func (l *Lease) HandedOver() bool { return l.handedOver }
--- a/node/lease.go
+++ b/node/lease.go
@@ -27,16 +27,18 @@
 	log     *declog.Log
 	// silent reports that the leader does not answer.
 	silent func() bool
-	wake   chan struct{}
+	// yield returns how long a free lease is left to other VMs.
+	yield func() time.Duration
+	wake  chan struct{}
 
 	mu    sync.Mutex
 	lease *leader.Lease
 	led   bool
 }
 
-func newLeaseDuty(objects store.Objects, key string, self leader.Identity, yield time.Duration, log *declog.Log, silent func() bool) *leaseDuty {
+func newLeaseDuty(objects store.Objects, key string, self leader.Identity, yield func() time.Duration, log *declog.Log, silent func() bool) *leaseDuty {
 	return &leaseDuty{
-		objects: objects, key: key, log: log, silent: silent, lease: leader.New(self, yield), wake: make(chan struct{}, 1),
+		objects: objects, key: key, log: log, silent: silent, yield: yield, lease: leader.New(self, yield()), wake: make(chan struct{}, 1),
 	}
 }
 
@@ -95,6 +97,7 @@
 		d.mu.Lock()
 		now := clock.Boot()
 		d.lease.SetEager(silent, now)
+		d.lease.SetYield(d.yield())
 		step := d.lease.Next(now)
 		d.mu.Unlock()
 		switch step.Action {
--- a/node/node.go
+++ b/node/node.go
@@ -37,7 +37,8 @@
 	// moment from the check to the server.
 	freshnessMargin = 1300 * time.Millisecond
 	// relaySilent is how long the leader may be silent, and relayOld how old
-	// its knowledge may be, before a VM reads the store itself.
+	// its knowledge may be, before a VM reads the store itself. Both are longer
+	// by the pace at which the VM calls the leader.
 	relaySilent = 900 * time.Millisecond
 	relayOld    = 2 * time.Second
 	// followRetry is the pause after a failed call to the leader.
@@ -49,7 +50,7 @@
 	// the VMs, and retryShareUsed the part of the allowed share.
 	retrySlackUsed, retryShareUsed = 0.5, 0.85
 	// maxYield is how long the smallest VM leaves a free lease to larger ones.
-	maxYield = 400 * time.Millisecond
+	maxYield = time.Second
 	// sweepInterval is the time between two searches for idle connections.
 	sweepInterval = time.Second
 )
@@ -103,14 +104,16 @@
 }
 
 func (n *Node) assemble() {
-	self := view.Member{VM: n.set.VM, Addr: n.set.PeerAddr, DataCentre: n.set.DataCentre}
+	self := view.Member{
+		VM: n.set.VM, Addr: n.set.PeerAddr, DataCentre: n.set.DataCentre, CPUShare: n.set.CPUShare,
+	}
 	boot := uuid.NewString()
 	n.calls.metrics = n.metrics
 	n.platform.CountCalls(n.calls.count)
 	n.peers = peer.NewPool(insecure.NewCredentials(), nil)
 	n.lease = newLeaseDuty(n.platform.Objects(), n.platform.OwnKey("leader", "lease"),
 		leader.Identity{VM: n.set.VM, Boot: boot, Addr: n.set.PeerAddr},
-		yieldTime(n.set.CPUShare), n.log, n.relayStale)
+		func() time.Duration { return yieldTime(n.set.CPUShare, n.view.Snapshot().Members) }, n.log, n.relayStale)
 	n.follower = fleet.NewFollower(self, boot, n.view, n.peers, n.setConfig, n.lease.Heard)
 	n.loads = newLoads(n.view)
 	n.assigner = newAssigner(n, n.loads)
@@ -141,12 +144,23 @@
 	n.metrics.Gauge("home_running", func() float64 { _, r := n.broker.Depth(); return float64(r) })
 }
 
-// yieldTime is how long a VM leaves a free lease to larger ones.
-func yieldTime(cpuShare float64) time.Duration {
-	if cpuShare <= 0 {
-		return 0
+// yieldTime is how long a VM leaves a free lease to larger ones. Until it knows
+// the other VMs it takes them for whole cores.
+func yieldTime(cpuShare float64, members []view.Member) time.Duration {
+	share := func(s float64) float64 {
+		if s <= 0 {
+			return 1
+		}
+		return min(s, 1)
+	}
+	largest := 1.0
+	if len(members) > 0 {
+		largest = 0
+	}
+	for _, m := range members {
+		largest = max(largest, share(m.CPUShare))
 	}
-	return time.Duration(max(0, 1-cpuShare) * float64(maxYield))
+	return time.Duration(max(0, largest-share(cpuShare)) * float64(maxYield))
 }
 
 // retrySlack is this VM's part of the retries that are allowed in any case.
@@ -198,8 +212,8 @@
 		return false
 	}
 	heard, known := n.follower.Heard()
-	now := clock.Boot()
-	return now.Sub(heard) > relaySilent || now.Sub(known) > relayOld
+	now, pace := clock.Boot(), n.follower.Pace()
+	return now.Sub(heard) > relaySilent+pace || now.Sub(known) > relayOld+pace
 }
 
 // needsStore reports whether this VM reads the store itself.
--- a/node/watch.go
+++ b/node/watch.go
@@ -24,6 +24,9 @@
 	// watchPause is the least time between two watches: changes of a moment
 	// come in one answer.
 	watchPause = 80 * time.Millisecond
+	// watchPausePerVM is added for each VM of the fleet at VMs that read the
+	// store because they don't hear the leader: all of them may do so at once.
+	watchPausePerVM = 8 * time.Millisecond
 	// watchRetry is the pause after a second failure in a row.
 	watchRetry = 300 * time.Millisecond
 	// listTimeout bounds a listing.
@@ -51,6 +54,8 @@
 	// returned is told that the store answers again after an outage.
 	returned func(time.Time)
 	wait     time.Duration
+	// pace returns the least time between two watches.
+	pace func() time.Duration
 }
 
 // Run watches until ctx ends.
@@ -76,7 +81,7 @@
 		if err == nil {
 			w.succeeded(sent, rev, failedSince)
 			failedSince, failures = time.Time{}, 0
-			pause(ctx, watchPause)
+			pause(ctx, w.pace())
 			continue
 		}
 		if failures++; failures == 1 {
@@ -87,7 +92,7 @@
 			listed = false
 		}
 		if failures > 1 {
-			pause(ctx, watchRetry)
+			pause(ctx, watchRetry+w.pace())
 		}
 	}
 	return ctx.Err()
@@ -166,11 +171,20 @@
 	list := []*watcher{config, servers, evacuations}
 	for _, w := range list {
 		w.objects, w.needed, w.log, w.wait = objects, n.needsStore, n.log, watchWait
+		w.pace = n.watchPace
 	}
 	config.wait = configWait
 	return list
 }
 
+// watchPace is the least time between two watches at this VM.
+func (n *Node) watchPace() time.Duration {
+	if _, leads := n.lease.Leads(); leads {
+		return watchPause
+	}
+	return watchPause + time.Duration(len(n.view.Snapshot().Members))*watchPausePerVM
+}
+
 func (n *Node) evacuationWatcher(prefix string) *watcher {
 	out := make(map[topo.DataCentreName]bool)
 	return &watcher{
--- a/view/view.go
+++ b/view/view.go
@@ -19,6 +19,8 @@
 	VM         topo.VMID
 	Addr       string
 	DataCentre topo.DataCentreName
+	// CPUShare is the share of a core that the VM has; 0 means a whole one.
+	CPUShare float64
 }
 
 // TableVersion orders the tables that leaders publish.
