--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -22,6 +22,9 @@
 	reportTimeout = 400 * time.Millisecond
 )
 
+// ErrNotLeader is the answer of a VM that does not lead.
+const ErrNotLeader = errors.ConstError("it does not lead")
+
 // Follower takes news from the leader into the view. It is safe for concurrent
 // use.
 type Follower struct {
@@ -86,7 +89,7 @@
 		return errors.Annotatef(err, "following the leader at %s", addr)
 	}
 	if !resp.GetLeads() {
-		return errors.Errorf("VM at %s does not lead", addr)
+		return errors.Annotatef(ErrNotLeader, "VM at %s", addr)
 	}
 	return f.apply(resp, sent)
 }
@@ -201,7 +204,7 @@
 		return errors.Annotatef(err, "report to the leader at %s", addr)
 	}
 	if !resp.GetLeads() {
-		return errors.Errorf("VM at %s does not lead", addr)
+		return errors.Annotatef(ErrNotLeader, "VM at %s", addr)
 	}
 	return nil
 }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -49,11 +49,15 @@
 	waiting, stopWaiting := context.WithCancel(ctx)
 	defer stopWaiting()
 	defer context.AfterFunc(work, stopWaiting)()
+	defer context.AfterFunc(f.stopping, stopWaiting)()
 	wait := false
 	for {
 		server, ref := f.attemptSlot(waiting, r, wait)
 		if ref != nil {
 			cancel()
+			if f.stopping.Err() != nil {
+				ref = &refusal{errkind.ShuttingDown, retrySoon, "this VM stops"}
+			}
 			kind := r.attempts.Truthful(ref.kind)
 			return f.refuse(r, kind, ref.after, ref.reason), kind != ref.kind
 		}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -67,10 +67,21 @@
 type Forwarder struct {
 	Config
 	split *routemap.Splitter
+	// stopping ends when requests that wait are to be refused.
+	stopping context.Context
+	stop     context.CancelFunc
 }
 
 // New returns a forwarder.
-func New(cfg Config) *Forwarder { return &Forwarder{Config: cfg, split: routemap.NewSplitter()} }
+func New(cfg Config) *Forwarder {
+	f := &Forwarder{Config: cfg, split: routemap.NewSplitter()}
+	f.stopping, f.stop = context.WithCancel(context.Background())
+	return f
+}
+
+// RefuseWaiting refuses the requests that wait for an owner or a slot, and all
+// further ones: the process ends before they could be answered.
+func (f *Forwarder) RefuseWaiting() { f.stop() }
 
 const (
 	// defaultTimeout bounds requests of routes that name no time-out.
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -164,6 +164,17 @@
 	require.Equal(t, 1, b.rates.returned)
 }
 
+// Guards against a stop that cuts requests which wait for a server.
+func TestStopRefusesWhatWaits(t *testing.T) {
+	b := newBench(t, ok)
+	b.slots.release, b.slots.asked = make(chan struct{}), make(chan struct{})
+	go func() { <-b.slots.asked; b.RefuseWaiting() }()
+	ans := b.Serve(context.Background(), order("/w/1"))
+	require.Equal(t, 503, ans.Status)
+	require.Equal(t, "shutting_down\n", string(ans.Body))
+	require.Empty(t, b.ran)
+}
+
 // Guards against an answer that is changed on its way, and a caller key that
 // reaches a server.
 func TestAnswerIsPassedOn(t *testing.T) {
--- a/leader/lease.go
+++ b/leader/lease.go
@@ -246,6 +246,19 @@
 	return pollInterval
 }
 
+// Eager reports whether the process looks for a change of the leader, so that
+// reads must not be stale.
+func (l *Lease) Eager() bool { return l.eager }
+
+// Denied records that the process that is known as the holder says that it
+// does not lead: the lease is read next.
+func (l *Lease) Denied(now time.Time) {
+	l.eager = true
+	if l.until.IsZero() {
+		l.next = now
+	}
+}
+
 // SetEager makes the process look often: it does not hear the leader.
 func (l *Lease) SetEager(eager bool, now time.Time) {
 	if eager && !l.eager && l.until.IsZero() {
--- a/leader/lease_test.go
+++ b/leader/lease_test.go
@@ -107,6 +107,18 @@
 	}
 }
 
+// Guards against a lease that was given back and is not looked at: its last
+// holder says that it does not lead.
+func TestDeniedLeaderIsLookedAtAtOnce(t *testing.T) {
+	l := New(identity("b"), 0)
+	l.Observed(start, Seen{Record: Record{Term: 3, Holder: identity("a")}, Version: 9})
+	l.Heard(start, 3, 9)
+	require.Equal(t, Wait, l.Next(start.Add(100*time.Millisecond)).Action)
+	l.Denied(start.Add(100 * time.Millisecond))
+	require.Equal(t, Read, l.Next(start.Add(100*time.Millisecond)).Action)
+	require.True(t, l.Eager(), "a stale read could miss the change")
+}
+
 // Guards against a successor that waits for orders that all had an answer, or
 // that takes a crash for a planned stop.
 func TestSettledLeaseIsHandedOver(t *testing.T) {
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -55,6 +55,11 @@
 	s.set.GetOrCreateCounter(full).Inc()
 }
 
+// StoreCall records the time that a call to the store took.
+func (s *Set) StoreCall(took time.Duration) {
+	s.set.GetOrCreateHistogram("godwitlock_store_call_seconds").Update(max(0, took.Seconds()))
+}
+
 // Gauge registers a value that is read when the metrics are served.
 func (s *Set) Gauge(name string, f func() float64) { s.set.NewGauge("godwitlock_"+name, f) }
 
--- a/node/assigner.go
+++ b/node/assigner.go
@@ -56,6 +56,7 @@
 	context context.Context
 	// settling asks Run to end its work as a leader.
 	settling chan chan bool
+	settled  bool
 }
 
 func newAssigner(n *Node, l *loads) *assigner {
@@ -66,7 +67,7 @@
 func (a *assigner) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		term, leads := a.node.lease.Leads()
-		if !leads {
+		if !leads || a.settled {
 			pause(ctx, assignInterval)
 			continue
 		}
@@ -96,6 +97,8 @@
 	for a.leads() && ctx.Err() == nil {
 		select {
 		case done := <-a.settling:
+			// No order may follow, although the lease still runs.
+			a.settled = true
 			done <- a.settle()
 			return
 		default:
--- a/node/lease.go
+++ b/node/lease.go
@@ -78,6 +78,17 @@
 	return d.lease.HandedOver()
 }
 
+// Denied records that the leader says that it does not lead.
+func (d *leaseDuty) Denied() {
+	d.mu.Lock()
+	d.lease.Denied(clock.Boot())
+	d.mu.Unlock()
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Resign gives the lease back and never takes it again. Settled says that no
 // order of this process can still be carried out.
 func (d *leaseDuty) Resign(settled bool) {
@@ -127,7 +138,13 @@
 }
 
 func (d *leaseDuty) read(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(store.AllowStale(ctx), leaseCallTimeout)
+	d.mu.Lock()
+	eager := d.lease.Eager()
+	d.mu.Unlock()
+	if !eager {
+		ctx = store.AllowStale(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
 	defer cancel()
 	o, err := d.objects.Get(ctx, d.key)
 	d.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -72,6 +72,7 @@
 	broker   *broker.Broker
 	fallback *broker.Broker
 	ingress  *ingress.Server
+	forward  *forward.Forwarder
 	grpc     *grpc.Server
 	loads    *loads
 	rates    *fleet.Rates
@@ -108,7 +109,7 @@
 		VM: n.set.VM, Addr: n.set.PeerAddr, DataCentre: n.set.DataCentre, CPUShare: n.set.CPUShare,
 	}
 	boot := uuid.NewString()
-	n.calls.metrics = n.metrics
+	n.calls.metrics, n.calls.log = n.metrics, n.log
 	n.platform.CountCalls(n.calls.count)
 	n.peers = peer.NewPool(insecure.NewCredentials(), nil)
 	n.lease = newLeaseDuty(n.platform.Objects(), n.platform.OwnKey("leader", "lease"),
@@ -126,12 +127,12 @@
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	n.broker = broker.New(n.poolServers, 1, rng)
 	n.fallback = broker.New(n.poolServers, fallbackDivisor, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	fwd := forward.New(forward.Config{
+	n.forward = forward.New(forward.Config{
 		View: n.view, Egress: n.egress, Rates: n.rates, Stats: n.reports, Log: n.log, Fresh: n.fresh,
 		Slots:   fleet.NewSlots(n.set.VM, n.set.DataCentre, n.peers, n.broker, n.fallback),
 		Budgets: forward.NewBudgets(n.bounds().RetryShare*retryShareUsed, n.retrySlack),
 	})
-	n.ingress = ingress.NewServer(n.platform.CallerHeaders(), fwd.Serve, n.callerLimits)
+	n.ingress = ingress.NewServer(n.platform.CallerHeaders(), n.forward.Serve, n.callerLimits)
 	n.grpc = grpc.NewServer()
 	fleetpb.RegisterFleetServer(n.grpc, fleet.NewServer(n.hub, n.broker, n.rates))
 	n.gauges()
@@ -235,6 +236,9 @@
 		}
 		if err := n.follower.Follow(ctx, l.Addr, n.stopping.Load()); err != nil {
 			n.log.Event("leader_unheard").Str("leader", string(l.VM)).Err(err).Send()
+			if errors.Is(err, fleet.ErrNotLeader) {
+				n.lease.Denied()
+			}
 			pause(ctx, followRetry)
 			continue
 		}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"io"
 	"testing"
 	"time"
@@ -10,10 +11,16 @@
 	"godwitlock.example/godwitlock/clock"
 	"godwitlock.example/godwitlock/declog"
 	"godwitlock.example/godwitlock/directory"
+	"godwitlock.example/godwitlock/egress"
+	"godwitlock.example/godwitlock/fleet"
+	"godwitlock.example/godwitlock/ingress"
 	"godwitlock.example/godwitlock/keyrange"
+	"godwitlock.example/godwitlock/leader"
 	"godwitlock.example/godwitlock/metric"
 	"godwitlock.example/godwitlock/ownership"
 	"godwitlock.example/godwitlock/routemap"
+	"godwitlock.example/godwitlock/store"
+	"godwitlock.example/godwitlock/store/memstore"
 	"godwitlock.example/godwitlock/topo"
 	"godwitlock.example/godwitlock/view"
 )
@@ -78,8 +85,8 @@
 // Guards against calls to the store that nobody counts.
 func TestStoreCallsAreCounted(t *testing.T) {
 	c := storeCalls{metrics: metric.New(), told: bootNow()}
-	c.count("GET", "config")
-	c.count("GET", "config")
+	c.count("GET", "config", time.Millisecond)
+	c.count("GET", "config", time.Millisecond)
 	c.tell(declog.New(io.Discard, "a"))
 	require.Equal(t, 2, c.counts["GET config"], "not told yet")
 	c.told = bootNow().Add(-callsInterval)
@@ -88,3 +95,52 @@
 }
 
 func bootNow() time.Time { return clock.Boot() }
+
+// Guards against a stopping leader that sends orders after it said that none
+// would follow.
+func TestSettledAssignerNeverLeadsAgain(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	objects := platformObjects{memstore.New()}
+	n := &Node{set: Settings{VM: "a"}, view: view.New(), log: declog.New(io.Discard, "a"), platform: objects}
+	b := DefaultBounds()
+	n.inForce.Store(&b)
+	never := func() bool { return false }
+	n.lease = newLeaseDuty(objects.Objects(), "leader/lease", leader.Identity{VM: "a", Addr: "a:1"},
+		func() time.Duration { return 0 }, n.log, never)
+	go func() { _ = n.lease.Run(ctx) }()
+	n.loads = newLoads(n.view)
+	n.hub = fleet.NewHub(n.view, view.Member{VM: "a"}, n.lease.Leads, n.lease.Version, n.view.Confirmed, n.loads)
+	a := newAssigner(n, n.loads)
+	done := make(chan struct{})
+	go func() { _ = a.Run(ctx); close(done) }()
+	require.Eventually(t, func() bool { _, leads := n.lease.Leads(); return leads }, time.Minute, time.Millisecond)
+	settled := false
+	for !settled {
+		settled = a.Settle(ctx)
+	}
+	short, stop := context.WithTimeout(ctx, 3*assignInterval)
+	defer stop()
+	require.False(t, a.Settle(short), "it leads again")
+	cancel()
+	<-done
+}
+
+// platformObjects is a Platform with a store in memory and nothing else.
+type platformObjects struct{ objects store.Objects }
+
+func (p platformObjects) Objects() store.Objects                       { return p.objects }
+func (platformObjects) CountCalls(func(string, string, time.Duration)) {}
+func (platformObjects) ConfigKey() string                              { return "config/main" }
+func (platformObjects) Prefixes() Prefixes                             { return Prefixes{} }
+func (platformObjects) OwnKey(kind, name string) string                { return kind + "/" + name }
+func (platformObjects) DecodeConfig([]byte) (routemap.Config, error)   { return routemap.Config{}, nil }
+func (platformObjects) Name(key string) string                         { return key }
+func (platformObjects) CallerHeaders() ingress.Headers                 { return ingress.Headers{} }
+func (platformObjects) ServerHeaders() egress.Headers                  { return egress.Headers{} }
+func (platformObjects) DecodeServer(store.Object, time.Time) (directory.Server, error) {
+	return directory.Server{}, nil
+}
+func (platformObjects) SendOrder(context.Context, string, ownership.Order) (ownership.Outcome, string, error) {
+	return ownership.Done, "", nil
+}
--- a/node/settings.go
+++ b/node/settings.go
@@ -76,8 +76,8 @@
 	// Objects is the platform's store.
 	Objects() store.Objects
 	// CountCalls has f called with the method and kind of each call to the
-	// store.
-	CountCalls(f func(method, kind string))
+	// store, and with how long it took beyond the time it was asked to wait.
+	CountCalls(f func(method, kind string, took time.Duration))
 	// ConfigKey is the object with the configuration; the prefixes are those
 	// of the configuration, the servers and the data centres out of service.
 	ConfigKey() string
--- a/node/stop.go
+++ b/node/stop.go
@@ -12,6 +12,9 @@
 	balancerTime = 2600 * time.Millisecond
 	// stopReserve is kept of the time until SIGKILL.
 	stopReserve = 500 * time.Millisecond
+	// waitReserve is the time before SIGKILL at which requests that still wait
+	// for a server are refused, so that their callers get an answer.
+	waitReserve = 1500 * time.Millisecond
 	// stopCheck is how often a stopping VM looks whether it may end.
 	stopCheck = 50 * time.Millisecond
 )
@@ -36,6 +39,8 @@
 	n.ingress.CloseIdle()
 	wait, cancel := context.WithDeadline(ctx, begin.Add(n.bounds().StopWithin-stopReserve))
 	defer cancel()
+	refuse := time.AfterFunc(time.Until(begin.Add(n.bounds().StopWithin-waitReserve)), n.forward.RefuseWaiting)
+	defer refuse.Stop()
 	for n.ingress.Open() > 0 && wait.Err() == nil {
 		pause(wait, stopCheck)
 		n.ingress.CloseIdle()
