--- a/node/assigner.go
+++ b/node/assigner.go
@@ -316,7 +316,7 @@
 	for _, h := range m.Holds() {
 		p := placement.Piece{First: h.First, Last: h.Last, Owner: h.Server, Fixed: !h.Movable(now)}
 		if h.Phase != ownership.Held {
-			p.Owner = h.Target
+			p.Owner, p.Moving = h.Target, true
 		}
 		out = append(out, p)
 	}
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -18,8 +18,10 @@
 	minGain = 0.3
 	// minLoad is the least load worth moving, in requests per second.
 	minLoad = 0.5
-	// maxMoves bounds the moves of one plan, maxMoving those under way.
-	maxMoves, maxMoving = 6, 16
+	// minMoves and minMoving bound the moves of one plan and those under way in
+	// a small service; in a large one it is a part of the servers.
+	minMoves, minMoving       = 6, 16
+	movesPart, movingPart int = 12, 4
 	// givers and takers bound the servers that a plan compares.
 	givers, takers = 6, 4
 	// coldShare is the part of a cold server's bound that its keys may bring,
@@ -46,10 +48,14 @@
 type Piece struct {
 	First, Last keyrange.Key
 	Owner       topo.ServerID
-	// Fixed pieces are between two owners and count for the owner to be.
-	Fixed bool
+	// Moving pieces are between two owners and count for the owner to be.
+	// Neither they nor Fixed ones can be moved now.
+	Moving, Fixed bool
 }
 
+// movable reports whether the piece, or a part of it, can be moved now.
+func (p Piece) movable() bool { return !p.Moving && !p.Fixed && p.width() >= 2 }
+
 // Move gives keys to another server.
 type Move struct {
 	First, Last keyrange.Key
@@ -186,11 +192,12 @@
 func Plan(load *Load, servers []Server, table []Piece) []Move {
 	moving := 0
 	for _, p := range table {
-		if p.Fixed {
+		if p.Moving {
 			moving++
 		}
 	}
 	st := newState(load, servers, table)
+	maxMoves, maxMoving := max(minMoves, len(servers)/movesPart), max(minMoving, len(servers)/movingPart)
 	var out []Move
 	for len(out) < maxMoves && moving+len(out) < maxMoving {
 		m, ok := st.next()
@@ -243,7 +250,7 @@
 				want = min(want, to.ColdRate*coldShare)
 			}
 			for _, p := range st.table {
-				if p.Owner != from.ID || p.Fixed || p.width() < 2 {
+				if p.Owner != from.ID || !p.movable() {
 					continue
 				}
 				if end, _ := st.load.Cut(p.First, p.Last, want); end < p.Last {
@@ -262,7 +269,7 @@
 	bestGain := 0.0
 	before := from.cost(from.load) + to.cost(to.load)
 	for _, p := range st.table {
-		if p.Owner != from.ID || p.Fixed || p.width() < 2 {
+		if p.Owner != from.ID || !p.movable() {
 			continue
 		}
 		for _, m := range st.candidates(p, want) {
@@ -330,13 +337,13 @@
 			continue
 		}
 		if p.First < m.First {
-			out = append(out, Piece{First: p.First, Last: m.First - 1, Owner: p.Owner, Fixed: p.Fixed})
+			out = append(out, Piece{First: p.First, Last: m.First - 1, Owner: p.Owner, Moving: p.Moving, Fixed: p.Fixed})
 		}
-		moved := Piece{First: max(p.First, m.First), Last: min(p.Last, m.Last), Owner: m.Target, Fixed: true}
+		moved := Piece{First: max(p.First, m.First), Last: min(p.Last, m.Last), Owner: m.Target, Moving: true}
 		out = append(out, moved)
 		st.account(p.Owner, m.Target, moved)
 		if p.Last > m.Last {
-			out = append(out, Piece{First: m.Last + 1, Last: p.Last, Owner: p.Owner, Fixed: p.Fixed})
+			out = append(out, Piece{First: m.Last + 1, Last: p.Last, Owner: p.Owner, Moving: p.Moving, Fixed: p.Fixed})
 		}
 	}
 	st.table = out
--- a/placement/plan_test.go
+++ b/placement/plan_test.go
@@ -51,7 +51,7 @@
 			st.apply(m)
 		}
 		for i := range st.table {
-			st.table[i].Fixed = false
+			st.table[i].Moving = false
 		}
 		s.table = st.table
 		moves += len(plan)
@@ -128,6 +128,18 @@
 	require.Less(t, s.mean(), 0.85*before)
 }
 
+// Guards against one range that cannot move now and keeps all others from
+// moving.
+func TestFixedPiecesDontStopOthers(t *testing.T) {
+	s := newSite(34)
+	s.feed(0, keyrange.MaxKey, 60)
+	s.feed(2928, 3127, 40)
+	for i := 10; i < len(s.table); i++ {
+		s.table[i].Fixed = true
+	}
+	require.NotEmpty(t, Plan(s.load, s.servers, s.table))
+}
+
 // Guards against moves without a use: an even load on even servers.
 func TestEvenLoadStays(t *testing.T) {
 	s := newSite(16)
