--- a/node/assigner.go
+++ b/node/assigner.go
@@ -32,6 +32,11 @@
 	firstServers = 1500 * time.Millisecond
 	// tableCallTimeout bounds a call for a table.
 	tableCallTimeout = time.Second
+	// tablePause is the least time between two writes of a table, and
+	// tablePausePerServer what each server adds: in a large service some keys
+	// are always moving. Requests for keys that wait for the write are held.
+	tablePause          = 60 * time.Millisecond
+	tablePausePerServer = time.Millisecond
 	// settleTime bounds how long a stopping leader waits for its last orders.
 	settleTime = 800 * time.Millisecond
 	// ordersAtOnce bounds the orders on their way.
@@ -47,6 +52,8 @@
 	// pending is when the first usable server of a service without a table
 	// was seen.
 	pending map[topo.ServiceName]time.Time
+	// wrote is when the table of a machine was last written.
+	wrote   map[*ownership.Machine]time.Time
 	results *ring.Ring[func()]
 	onWay   int
 	term    topo.Term
@@ -84,6 +91,7 @@
 	a.term, a.version, a.told, a.onWay, a.context = term, uint64(start.UnixNano()), 0, 0, ctx
 	a.machines = make(map[topo.ServiceName]*ownership.Machine)
 	a.pending = make(map[topo.ServiceName]time.Time)
+	a.wrote = make(map[*ownership.Machine]time.Time)
 	a.loads.reset()
 	a.node.hub.Begin(start)
 	for !a.adopt(ctx, start) {
@@ -241,7 +249,7 @@
 		a.fill(m, snap, svc)
 	}
 	a.assignFree(now, m, snap, svc)
-	a.store(m)
+	a.store(now, m, len(snap.Servers))
 	a.loads.with(svc.Name, func(l *placement.Load) { a.divideLeaving(m, snap, svc, l) })
 	if a.onWay >= ordersAtOnce {
 		return
@@ -350,12 +358,17 @@
 	}
 }
 
-// store writes the pending table of a machine.
-func (a *assigner) store(m *ownership.Machine) {
+// store writes the pending table of a machine. Changes of a moment are written
+// together: calls to the store are dear.
+func (a *assigner) store(now time.Time, m *ownership.Machine, servers int) {
+	if now.Sub(a.wrote[m]) < tablePause+time.Duration(servers)*tablePausePerServer {
+		return
+	}
 	t, version, ok := m.Pending()
 	if !ok {
 		return
 	}
+	a.wrote[m] = now
 	ctx := a.context
 	go func() {
 		cctx, cancel := context.WithTimeout(ctx, tableCallTimeout)
--- a/node/node.go
+++ b/node/node.go
@@ -40,7 +40,13 @@
 	// its knowledge may be, before a VM reads the store itself. Both are longer
 	// by the pace at which the VM calls the leader.
 	relaySilent = 900 * time.Millisecond
-	relayOld    = 2 * time.Second
+	relayOld    = 2600 * time.Millisecond
+	// relayLost is how old the leader's knowledge may be before a VM also reads
+	// servers and data centres itself, which do not end its right to serve.
+	relayLost = 3500 * time.Millisecond
+	// bootGrace is how long a VM that starts waits for a leader before it reads
+	// the store itself.
+	bootGrace = time.Second
 	// followRetry is the pause after a failed call to the leader.
 	followRetry = 120 * time.Millisecond
 	// fallbackDivisor divides the slots of servers whose home VMs do not
@@ -79,6 +85,8 @@
 	assigner *assigner
 	calls    storeCalls
 
+	// booted is when the process started.
+	booted    time.Time
 	addresses addressBook
 	stopping  atomic.Bool
 	watching  []*watcher
@@ -88,7 +96,7 @@
 
 // Listen claims the addresses of a node. It fails at once when one is in use.
 func Listen(set Settings, p Platform) (*Node, error) {
-	n := &Node{set: set, platform: p, view: view.New(), metrics: metric.New()}
+	n := &Node{set: set, platform: p, view: view.New(), metrics: metric.New(), booted: clock.Boot()}
 	n.inForce.Store(&set.Bounds)
 	n.log = declog.New(os.Stdout, string(set.VM))
 	for _, l := range []struct {
@@ -206,23 +214,36 @@
 	return age < n.bounds().WithdrawWithin-freshnessMargin
 }
 
-// relayStale reports whether the leader is not heard, or does not know the
-// store itself.
-func (n *Node) relayStale() bool {
+// relayStale reports whether the leader is not heard, or has not known the
+// newest configuration for some time.
+func (n *Node) relayStale() bool { return n.relayOlder(relayOld) }
+
+// relayOlder reports whether the leader is not heard, or its knowledge is older
+// than a limit.
+func (n *Node) relayOlder(limit time.Duration) bool {
 	if _, leads := n.lease.Leads(); leads {
 		return false
 	}
 	heard, known := n.follower.Heard()
 	now, pace := clock.Boot(), n.follower.Pace()
-	return now.Sub(heard) > relaySilent+pace || now.Sub(known) > relayOld+pace
+	if heard.IsZero() && now.Sub(n.booted) < bootGrace {
+		return false
+	}
+	return now.Sub(heard) > relaySilent+pace || now.Sub(known) > limit+pace
 }
 
-// needsStore reports whether this VM reads the store itself.
-func (n *Node) needsStore() bool {
+// readsConfig reports whether this VM reads the configuration itself.
+func (n *Node) readsConfig() bool {
 	_, leads := n.lease.Leads()
 	return leads || n.relayStale()
 }
 
+// readsServers reports whether it reads servers and data centres itself.
+func (n *Node) readsServers() bool {
+	_, leads := n.lease.Leads()
+	return leads || n.relayOlder(relayLost)
+}
+
 // poolServers returns the servers of a pool of slots.
 func (n *Node) poolServers(pool string) []permit.Server { return poolServers(n.view.Snapshot(), pool) }
 
--- a/node/watch.go
+++ b/node/watch.go
@@ -170,10 +170,10 @@
 	evacuations := n.evacuationWatcher(prefixes.Evacuations)
 	list := []*watcher{config, servers, evacuations}
 	for _, w := range list {
-		w.objects, w.needed, w.log, w.wait = objects, n.needsStore, n.log, watchWait
+		w.objects, w.needed, w.log, w.wait = objects, n.readsServers, n.log, watchWait
 		w.pace = n.watchPace
 	}
-	config.wait = configWait
+	config.wait, config.needed = configWait, n.readsConfig
 	return list
 }
 
