--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -240,6 +240,17 @@
 	}
 }
 
+// checkLogs looks for data races and panics in the processes' output.
+func (c *cluster) checkLogs() {
+	for _, p := range c.procs {
+		data, err := os.ReadFile(filepath.Join(c.dir, p.name+".log"))
+		require.NoError(c.t, err)
+		for _, bad := range []string{"DATA RACE", "panic:", "fatal error:"} {
+			require.NotContains(c.t, string(data), bad, "log of %s in %s", p.name, c.dir)
+		}
+	}
+}
+
 // config writes a configuration with the caller keys in force.
 func (c *cluster) config(version int, keys map[string][]string) {
 	var tenants []map[string]any
--- /dev/null
+++ b/soak/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package soak
+
+var raceFlags []string
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -44,7 +44,8 @@
 		panic(err)
 	}
 	binary = filepath.Join(dir, "godwitlock-node")
-	build := exec.Command("go", "build", "-o", binary, "../cmd/godwitlock-node")
+	args := append([]string{"build", "-o", binary}, raceFlags...)
+	build := exec.Command("go", append(args, "../cmd/godwitlock-node")...)
 	if out, err := build.CombinedOutput(); err != nil {
 		panic(string(out))
 	}
@@ -95,6 +96,7 @@
 	served, total = check.served.Load()-served, check.total.Load()-total
 	close(stop)
 	callers.Wait()
+	c.checkLogs()
 	require.Empty(t, check.problems(), "seed %d; logs in %s", seed, c.dir)
 	require.Greater(t, float64(served), 0.9*float64(total), "seed %d: served after the faults; logs in %s", seed, c.dir)
 	t.Logf("seed %d: %d of %d served in all", seed, check.served.Load(), check.total.Load())
