Notice a leader that is cut off from the store within 2 s

Cause: followers trusted the leader's knowledge until it was 2.6 s (servers: 3.5 s) old, while servers that leave must get no requests 2 s after the store's acknowledgement. A leader that alone is cut off stays heard until its lease ends. Change: the leader tells how long ago the store answered all its watches; followers read the store themselves from 1.7 s. Watches wait 0.7 s. Test: TestSilentStoreOfTheLeaderIsNoticed (the arithmetic; it failed with the old limits).

--- a/egress/egress.go
+++ b/egress/egress.go
@@ -68,9 +68,6 @@
 	Length int64
 	// Deadline ends the server's work.
 	Deadline time.Time
-	// Fresh asks for a new connection: a kept one may be closed by the server
-	// at the same moment, which leaves the outcome unknown.
-	Fresh bool
 }
 
 // Response is the answer of a server. Body must be closed.
@@ -95,9 +92,7 @@
 	MayHaveRun bool
 	// Refused says that the server's address refused the connection.
 	Refused bool
-	// Idle says that a kept connection was found broken before it answered.
-	Idle  bool
-	Cause error
+	Cause   error
 }
 
 // Error implements error.
@@ -145,7 +140,7 @@
 
 // Do sends req to target once. The error is a *Failure.
 func (c *Client) Do(ctx context.Context, target Target, req *Request) (*Response, error) {
-	cn, kept, err := c.connection(ctx, target, req.Fresh)
+	cn, err := c.connection(ctx, target)
 	if err != nil {
 		return nil, &Failure{Refused: isRefused(err), Cause: errors.Annotatef(err, "connection to server %s", target.ID)}
 	}
@@ -153,34 +148,32 @@
 	if err == nil {
 		return resp, nil
 	}
-	f := &Failure{MayHaveRun: cn.wrote, Idle: kept, Cause: errors.Annotatef(err, "server %s", target.ID)}
+	f := &Failure{MayHaveRun: cn.wrote, Cause: errors.Annotatef(err, "server %s", target.ID)}
 	cn.close()
 	return nil, f
 }
 
 // connection returns a kept connection or opens one.
-func (c *Client) connection(ctx context.Context, target Target, fresh bool) (cn *conn, kept bool, err error) {
-	if !fresh {
-		if cn := c.take(target); cn != nil {
-			return cn, true, nil
-		}
+func (c *Client) connection(ctx context.Context, target Target) (*conn, error) {
+	if cn := c.take(target); cn != nil {
+		return cn, nil
 	}
 	c.mu.Lock()
 	if target.MaxConns > 0 && c.open[target.ID] >= target.MaxConns {
 		c.mu.Unlock()
-		return nil, false, errors.New("the connection limit is reached")
+		return nil, errors.New("the connection limit is reached")
 	}
 	c.open[target.ID]++
 	c.mu.Unlock()
 	nc, err := c.dialer.DialContext(ctx, "tcp", target.Addr)
 	if err != nil {
 		c.closed(target.ID)
-		return nil, false, err
+		return nil, err
 	}
 	if c.Connected != nil {
 		c.Connected()
 	}
-	return newConn(c, target.ID, nc), false, nil
+	return newConn(c, target.ID, nc), nil
 }
 
 // take returns the connection that was used last and is still sound.
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -55,8 +55,8 @@
 	return &Follower{self: self, boot: boot, view: v, peers: peers, setConfig: setConfig, leaseSeen: leaseSeen}
 }
 
-// Heard returns when the leader last answered, and up to when it then knew the
-// store.
+// Heard returns when the leader last answered, and when the store had last
+// answered it then.
 func (f *Follower) Heard() (heard, known time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -112,7 +112,7 @@
 }
 
 func (f *Follower) apply(resp *fleetpb.FollowResponse, sent time.Time) error {
-	known := sent.Add(-millis(resp.GetAgeMs()))
+	confirmed := sent.Add(-millis(resp.GetAgeMs()))
 	if len(resp.GetConfig()) > 0 {
 		if err := f.setConfig(resp.GetConfig(), resp.GetConfigRev()); err != nil {
 			return err
@@ -128,11 +128,11 @@
 	if len(resp.GetMembers()) > 0 {
 		f.view.SetMembers(resp.GetMembersVersion(), members(resp))
 	}
-	f.view.Confirm(known)
+	f.view.Confirm(confirmed)
 	f.leaseSeen(topo.Term(resp.GetTerm()), resp.GetLeaseVersion())
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.heard, f.sent, f.known, f.term = now, sent, known, topo.Term(resp.GetTerm())
+	f.heard, f.sent, f.known, f.term = now, sent, now.Add(-millis(resp.GetStoreAgeMs())), topo.Term(resp.GetTerm())
 	f.lastDirectory, f.lastMembers = resp.GetDirectoryVersion(), resp.GetMembersVersion()
 	return nil
 }
--- a/fleet/hub.go
+++ b/fleet/hub.go
@@ -49,9 +49,10 @@
 	leads func() (topo.Term, bool)
 	// leaseVersion returns the version of the lease in the store.
 	leaseVersion func() uint64
-	// knownAt returns the time up to which this VM knows the store.
-	knownAt func() time.Time
-	loads   Loads
+	// answeredAt returns when the store last answered each of this VM's
+	// watches.
+	answeredAt func() time.Time
+	loads      Loads
 
 	mu      sync.Mutex
 	members map[topo.VMID]*member
@@ -66,9 +67,9 @@
 }
 
 // NewHub returns a hub.
-func NewHub(v *view.View, self view.Member, leads func() (topo.Term, bool), leaseVersion func() uint64, knownAt func() time.Time, loads Loads) *Hub {
+func NewHub(v *view.View, self view.Member, leads func() (topo.Term, bool), leaseVersion func() uint64, answeredAt func() time.Time, loads Loads) *Hub {
 	return &Hub{
-		view: v, self: self, leads: leads, leaseVersion: leaseVersion, knownAt: knownAt, loads: loads,
+		view: v, self: self, leads: leads, leaseVersion: leaseVersion, answeredAt: answeredAt, loads: loads,
 		members: make(map[topo.VMID]*member), changed: make(chan struct{}), tables: newTableLog(),
 	}
 }
@@ -216,7 +217,8 @@
 func (h *Hub) response(req *fleetpb.FollowRequest, term topo.Term) *fleetpb.FollowResponse {
 	now := clock.Boot()
 	out := &fleetpb.FollowResponse{
-		Leads: true, Term: uint64(term), AgeMs: now.Sub(h.knownAt()).Milliseconds(), LeaseVersion: h.leaseVersion(),
+		Leads: true, Term: uint64(term), LeaseVersion: h.leaseVersion(),
+		AgeMs: now.Sub(h.view.Confirmed()).Milliseconds(), StoreAgeMs: now.Sub(h.answeredAt()).Milliseconds(),
 	}
 	raw, rev := h.view.Config()
 	if out.ConfigRev = rev; rev > req.GetConfigRev() {
--- a/node/node.go
+++ b/node/node.go
@@ -36,14 +36,13 @@
 	// must stop: watches may hear nothing for a second, and a request takes a
 	// moment from the check to the server.
 	freshnessMargin = 1300 * time.Millisecond
-	// relaySilent is how long the leader may be silent, and relayOld how old
-	// its knowledge may be, before a VM reads the store itself. Both are longer
-	// by the pace at which the VM calls the leader.
+	// relaySilent is how long the leader may be silent, and relayOld how long
+	// the store may have been silent to the leader, before a VM reads the store
+	// itself: changes of servers and configuration must show within 2 s, also
+	// when only the leader is cut off. Both are longer by the pace at which the
+	// VM calls the leader.
 	relaySilent = 900 * time.Millisecond
-	relayOld    = 2600 * time.Millisecond
-	// relayLost is how old the leader's knowledge may be before a VM also reads
-	// servers and data centres itself, which do not end its right to serve.
-	relayLost = 3500 * time.Millisecond
+	relayOld    = 1700 * time.Millisecond
 	// bootGrace is how long a VM that starts waits for a leader before it reads
 	// the store itself.
 	bootGrace = time.Second
@@ -126,7 +125,7 @@
 	n.follower = fleet.NewFollower(self, boot, n.view, n.peers, n.setConfig, n.lease.Heard)
 	n.loads = newLoads(n.view)
 	n.assigner = newAssigner(n, n.loads)
-	n.hub = fleet.NewHub(n.view, self, n.lease.Leads, n.lease.Version, n.view.Confirmed, n.loads)
+	n.hub = fleet.NewHub(n.view, self, n.lease.Leads, n.lease.Version, n.answeredAt, n.loads)
 	n.watching = n.watchers()
 	n.reports = newReports(n.set.VM, n.metrics)
 	n.rates = fleet.NewRates(n.set.VM, n.view, n.peers)
@@ -214,13 +213,9 @@
 	return age < n.bounds().WithdrawWithin-freshnessMargin
 }
 
-// relayStale reports whether the leader is not heard, or has not known the
-// newest configuration for some time.
-func (n *Node) relayStale() bool { return n.relayOlder(relayOld) }
-
-// relayOlder reports whether the leader is not heard, or its knowledge is older
-// than a limit.
-func (n *Node) relayOlder(limit time.Duration) bool {
+// relayStale reports whether the leader is not heard, or has not heard the
+// store for some time.
+func (n *Node) relayStale() bool {
 	if _, leads := n.lease.Leads(); leads {
 		return false
 	}
@@ -229,19 +224,24 @@
 	if heard.IsZero() && now.Sub(n.booted) < bootGrace {
 		return false
 	}
-	return now.Sub(heard) > relaySilent+pace || now.Sub(known) > limit+pace
+	return now.Sub(heard) > relaySilent+pace || now.Sub(known) > relayOld+pace
 }
 
-// readsConfig reports whether this VM reads the configuration itself.
-func (n *Node) readsConfig() bool {
+// needsStore reports whether this VM reads the store itself.
+func (n *Node) needsStore() bool {
 	_, leads := n.lease.Leads()
 	return leads || n.relayStale()
 }
 
-// readsServers reports whether it reads servers and data centres itself.
-func (n *Node) readsServers() bool {
-	_, leads := n.lease.Leads()
-	return leads || n.relayOlder(relayLost)
+// answeredAt returns the time up to which the store has answered each watch.
+func (n *Node) answeredAt() time.Time {
+	oldest := clock.Boot()
+	for _, w := range n.watching {
+		if at := w.AnsweredAt(); at.Before(oldest) {
+			oldest = at
+		}
+	}
+	return oldest
 }
 
 // poolServers returns the servers of a pool of slots.
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -71,6 +71,13 @@
 	require.Equal(t, ownership.Unusable, condition(&view.Snapshot{}, svc, owner))
 }
 
+// Guards against VMs that rely on a leader which is cut off from the store:
+// servers that leave must get no requests after 2 s.
+func TestSilentStoreOfTheLeaderIsNoticed(t *testing.T) {
+	require.Less(t, relayOld+watchPause+100*time.Millisecond, DefaultBounds().LeaveWithin)
+	require.Greater(t, relayOld, watchWait+watchPause+fleet.FollowWait, "a sound leader must not look cut off")
+}
+
 // Guards against a small VM that leads while a large one could.
 func TestSmallVMsYield(t *testing.T) {
 	large, small := view.Member{CPUShare: 0.8}, view.Member{CPUShare: 0.16}
--- a/node/watch.go
+++ b/node/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -14,13 +15,9 @@
 )
 
 const (
-	// configWait is how long a watch of the configuration waits for changes.
-	// Each answer renews the right to accept caller keys; two of them pass
-	// well within the time that a withdrawn key may still work.
-	configWait = 700 * time.Millisecond
-	// watchWait is the same for what needs no renewal. A watch that went
-	// silent is noticed a little later.
-	watchWait = 2 * time.Second
+	// watchWait is how long a watch waits for changes. Each answer shows that
+	// the store is reached, and renews the right to accept caller keys.
+	watchWait = 700 * time.Millisecond
 	// watchPause is the least time between two watches: changes of a moment
 	// come in one answer.
 	watchPause = 80 * time.Millisecond
@@ -56,6 +53,16 @@
 	wait     time.Duration
 	// pace returns the least time between two watches.
 	pace func() time.Duration
+
+	mu       sync.Mutex
+	answered time.Time
+}
+
+// AnsweredAt returns when the store last answered.
+func (w *watcher) AnsweredAt() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.answered
 }
 
 // Run watches until ctx ends.
@@ -107,6 +114,9 @@
 		}
 	}
 	w.advance(rev, sent)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.answered = now
 }
 
 func (w *watcher) list(ctx context.Context) (topo.Revision, error) {
@@ -170,10 +180,10 @@
 	evacuations := n.evacuationWatcher(prefixes.Evacuations)
 	list := []*watcher{config, servers, evacuations}
 	for _, w := range list {
-		w.objects, w.needed, w.log, w.wait = objects, n.readsServers, n.log, watchWait
+		w.objects, w.needed, w.log, w.wait = objects, n.needsStore, n.log, watchWait
 		w.pace = n.watchPace
 	}
-	config.wait, config.needed = configWait, n.readsConfig
+
 	return list
 }
 
