--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -45,7 +45,9 @@
 
 func answer(status int, body string) *Answer { return &Answer{Status: status, Body: []byte(body)} }
 
-func echo(_ context.Context, r *Request) *Answer { return answer(200, r.Method+" "+r.URI+" "+string(r.Body)) }
+func echo(_ context.Context, r *Request) *Answer {
+	return answer(200, r.Method+" "+r.URI+" "+string(r.Body))
+}
 
 // Guards against pipelined requests that run one after the other, and against
 // answers out of order: the first request waits for the second.
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"godwitlock.example/godwitlock/standin/site"
+	"godwitlock.example/godwitlock/standin/platform/site"
 )
 
 // withdrawBound is the time in which a withdrawn key must stop working.
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -16,7 +16,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"godwitlock.example/godwitlock/standin/site"
+	"godwitlock.example/godwitlock/standin/platform/site"
 )
 
 // heartbeat is how often servers write their entry, and lapse how long an entry
@@ -106,25 +106,15 @@
 	require.NoError(c.t, err)
 	ports := freePorts(c.t, 4)
 	p.front = ports[0]
-	text := fmt.Sprintf(`node = %q
-ip = "127.0.0.1"
-zone = "z%d"
-internalPorts = [%s, %s]
-bounds = ["revokeS=5","graceS=4","drainS=2","maxHoldS=10","retryRatio=0.2","retrySlack=20","quotaWindowS=5"]
-[listen]
-front = %q
-ready = %q
-[limits]
-cpuShare = 0.5
-[platform]
-addr = %q
-`, p.name, i%2, port(ports[2]), port(ports[3]), ports[0], ports[1], p.store.addr())
-	require.NoError(c.t, os.WriteFile(p.settings(), []byte(text), 0o600))
 	// The parser asks for a range; the two ports need not follow one another.
-	if port(ports[2]) > port(ports[3]) {
-		text = strings.Replace(text, port(ports[2])+", "+port(ports[3]), port(ports[3])+", "+port(ports[2]), 1)
-		require.NoError(c.t, os.WriteFile(p.settings(), []byte(text), 0o600))
+	internal := [2]string{port(ports[2]), port(ports[3])}
+	if len(internal[0]) > len(internal[1]) || len(internal[0]) == len(internal[1]) && internal[0] > internal[1] {
+		internal[0], internal[1] = internal[1], internal[0]
 	}
+	text := site.Settings(p.name, fmt.Sprintf("z%d", i%2), site.Places{
+		Front: ports[0], Ready: ports[1], Internal: internal, Store: p.store.addr(),
+	})
+	require.NoError(c.t, os.WriteFile(p.settings(), []byte(text), 0o600))
 	c.start(p)
 	return p
 }
@@ -160,7 +150,7 @@
 	defer c.mu.Unlock()
 	c.next++
 	s := &site.Server{
-		ID: fmt.Sprintf("i-%d", c.next), Service: "ledger", Zone: fmt.Sprintf("z%d", c.next%2),
+		ID: fmt.Sprintf("i-%d", c.next), Service: "ledger", DataCentre: fmt.Sprintf("z%d", c.next%2),
 		Born: time.Now().UnixMilli(), Work: 30 * time.Millisecond, Keyed: true, Ran: c.check.ran,
 		Late: c.check.late, LoseAnswer: c.check.loseAnswer,
 	}
@@ -251,24 +241,6 @@
 	}
 }
 
-// config writes a configuration with the caller keys in force.
-func (c *cluster) config(version int, keys map[string][]string) {
-	var tenants []map[string]any
-	for name, list := range keys {
-		tenants = append(tenants, map[string]any{"name": name, "apiKeys": list, "ratePerS": 500, "burst": 500})
-	}
-	route := func(name, prefix, kind string) map[string]any {
-		return map[string]any{"name": name, "host": "h", "pathPrefix": prefix, "kind": kind,
-			"timeoutS": 1.5, "sloS": 0.5, "priority": 1, "service": "ledger", "attempts": 2}
-	}
-	c.store.Put("config", "main", map[string]any{
-		"version":  version,
-		"routes":   []any{route("read", "/read/", "safe"), route("write", "/write/", "unsafe")},
-		"services": []any{map[string]any{"name": "ledger", "healthPath": "/health", "maxConns": 100, "sharded": true}},
-		"tenants":  tenants,
-	})
-}
-
 // storeFault is a fault of all calls to the store.
 func storeFault(status int, lose bool, delay time.Duration) func(*http.Request) site.Fault {
 	return func(r *http.Request) site.Fault {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -79,7 +79,7 @@
 			check.owners[k] = name
 		}
 	}
-	c.config(1, keys)
+	c.store.PutConfig(1, keys)
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
 	for i := range *callsFlag {
@@ -230,11 +230,11 @@
 			version++
 			if version == 3 {
 				keys["cust-a"] = []string{"key-a1"}
-				c.config(version, keys)
+				c.store.PutConfig(version, keys)
 				c.check.withdraw("key-a2")
 				continue
 			}
-			c.config(version, keys)
+			c.store.PutConfig(version, keys)
 		}
 		time.Sleep(time.Duration(100+rng.IntN(900)) * time.Millisecond)
 	}
--- a/standin/site/server.go
+++ b/standin/platform/site/server.go
@@ -31,8 +31,8 @@
 // Server is a backend server of a service that is divided by key. It is safe
 // for concurrent use.
 type Server struct {
-	ID, Service, Zone string
-	Born              int64
+	ID, Service, DataCentre string
+	Born                    int64
 	// Work is how long a request takes.
 	Work time.Duration
 	// Keyed servers run only requests for keys that they hold.
@@ -89,7 +89,7 @@
 	}
 	s.mu.Unlock()
 	return map[string]any{
-		"service": s.Service, "addr": s.Addr(), "zone": s.Zone, "version": "v1", "slots": Slots,
+		"service": s.Service, "addr": s.Addr(), "zone": s.DataCentre, "version": "v1", "slots": Slots,
 		"state": state, "warmupLeftS": 0, "seq": 1, "born": s.Born,
 	}
 }
--- /dev/null
+++ b/standin/platform/site/site.go
@@ -0,0 +1,49 @@
+package site
+
+import "fmt"
+
+// Places are the addresses of a VM's process on loopback.
+type Places struct {
+	// Front and Ready are host:port; Internal are the first and last port
+	// for the processes themselves.
+	Front, Ready string
+	Internal     [2]string
+	Store        string
+}
+
+// Settings returns the settings file of a VM.
+func Settings(name, dataCentre string, p Places) string {
+	return fmt.Sprintf(`node = %q
+ip = "127.0.0.1"
+zone = %q
+internalPorts = [%s, %s]
+bounds = ["revokeS=5","graceS=4","drainS=2","maxHoldS=10","retryRatio=0.2","retrySlack=20","quotaWindowS=5"]
+[listen]
+front = %q
+ready = %q
+[limits]
+cpuShare = 0.5
+[platform]
+addr = %q
+`, name, dataCentre, p.Internal[0], p.Internal[1], p.Front, p.Ready, p.Store)
+}
+
+// PutConfig writes a configuration with one keyed service, "ledger", a route
+// "/read/" that may be repeated and a route "/write/" that may not, and the
+// caller keys of each customer.
+func (s *Store) PutConfig(version int, keys map[string][]string) {
+	var tenants []map[string]any
+	for name, list := range keys {
+		tenants = append(tenants, map[string]any{"name": name, "apiKeys": list, "ratePerS": 500, "burst": 500})
+	}
+	route := func(name, prefix, kind string) map[string]any {
+		return map[string]any{"name": name, "host": "h", "pathPrefix": prefix, "kind": kind,
+			"timeoutS": 1.5, "sloS": 0.5, "priority": 1, "service": "ledger", "attempts": 2}
+	}
+	s.Put("config", "main", map[string]any{
+		"version":  version,
+		"routes":   []any{route("read", "/read/", "safe"), route("write", "/write/", "unsafe")},
+		"services": []any{map[string]any{"name": "ledger", "healthPath": "/health", "maxConns": 100, "sharded": true}},
+		"tenants":  tenants,
+	})
+}
