forward: make the test of a caller that left fail without the mechanism

Change: the slot is granted right after the caller left. Tried: it fails when waiting is bound to the detached context, and passes 20 times.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -158,8 +158,8 @@
 	go func() { b.Serve(ctx, order("/w/1")); close(done) }()
 	<-b.slots.asked
 	leave()
-	<-done
 	close(b.slots.release)
+	<-done
 	require.Empty(t, b.ran)
 	require.Equal(t, 1, b.rates.returned)
 }
