placement: plans keep sums and lists per server; targets of many ranges are chosen together

Cause: Plan sorted all servers by a marginal cost that it worked out anew in each comparison, and searched all pieces for each pair of servers. With 375 servers one plan cost 114 ms, every 400 ms, on the leader's 0.8 of a core, and held up the renewals of keys meanwhile. Target built the state of all servers for each range of a lost data centre.

Change: marginal costs and movable pieces are kept by server and updated by a move; Targets places all free ranges on one state.

Tests: the plain search stays in naive_test.go and Plan returns the same moves; Targets spreads the keys of lost servers.

--- /dev/null
+++ b/placement/bench_test.go
@@ -0,0 +1,51 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"godwitlock.example/godwitlock/topo"
+)
+
+// BenchmarkPlan is the leader's work every 400 ms in a large service whose
+// load is uneven.
+func BenchmarkPlan(b *testing.B) {
+	for _, n := range []int{34, 375, 1500} {
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			load, servers, table := unevenService(n)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				Plan(load, servers, table)
+			}
+		})
+	}
+}
+
+// unevenService is a service of n servers of three speeds, two pieces each, in
+// which some neighbouring keys are hot.
+func unevenService(n int) (*Load, []Server, []Piece) {
+	load := NewLoad()
+	var servers []Server
+	speeds := []float64{0.7, 0.7, 1.6}
+	for i := range n {
+		id := topo.ServerID(fmt.Sprintf("server-%04d", i))
+		servers = append(servers, Server{ID: id, Slots: 6})
+		load.Answered(id, 1000, time.Duration(float64(500*time.Millisecond)*speeds[i%3]))
+	}
+	for bucket := range Buckets {
+		rate := 2100.0 / Buckets
+		if bucket > 2000 && bucket < 2040 {
+			rate *= 8
+		}
+		load.Count(bucket, rate*float64(n)/375)
+	}
+	var table []Piece
+	for i, p := range Initial(servers) {
+		mid := p.First + (p.Last-p.First)/2
+		table = append(table, Piece{First: p.First, Last: mid, Owner: p.Owner},
+			Piece{First: mid + 1, Last: p.Last, Owner: servers[(i*7+3)%n].ID})
+	}
+	return load, servers, table
+}
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -69,6 +69,10 @@
 	// requests per second.
 	work, load float64
 	keys       int
+	// held are the pieces that can be moved away, in the order of their keys.
+	held []Piece
+	// marginal is what one more request per second costs.
+	marginal float64
 }
 
 // time returns the expected time of a request, in seconds, when the server's
@@ -90,19 +94,21 @@
 // cost is the sum of the expected times of a second's requests.
 func (s *share) cost(load float64) float64 { return load * s.time(load) }
 
-// marginal is what one more request per second costs.
-func (s *share) marginal() float64 { return s.cost(s.load+1) - s.cost(s.load) }
+// change adds load and keys to the server.
+func (s *share) change(load float64, keys int) {
+	s.load, s.keys = s.load+load, s.keys+keys
+	s.marginal = s.cost(s.load+1) - s.cost(s.load)
+}
 
 // state is the load of all servers.
 type state struct {
-	load  *Load
-	all   []*share
-	byID  map[topo.ServerID]*share
-	table []Piece
+	load *Load
+	all  []*share
+	byID map[topo.ServerID]*share
 }
 
 func newState(load *Load, servers []Server, table []Piece) *state {
-	st := &state{load: load, byID: make(map[topo.ServerID]*share, len(servers)), table: table}
+	st := &state{load: load, byID: make(map[topo.ServerID]*share, len(servers))}
 	for _, s := range servers {
 		sh := &share{Server: s, work: load.Work(s.ID)}
 		if s.ColdRate > 0 {
@@ -112,11 +118,19 @@
 		st.all = append(st.all, sh)
 	}
 	for _, p := range table {
-		if sh := st.byID[p.Owner]; sh != nil {
-			sh.load += load.Between(p.First, p.Last)
-			sh.keys += p.width()
+		sh := st.byID[p.Owner]
+		if sh == nil {
+			continue
+		}
+		sh.load += load.Between(p.First, p.Last)
+		sh.keys += p.width()
+		if p.movable() {
+			sh.held = append(sh.held, p)
 		}
 	}
+	for _, sh := range st.all {
+		sh.change(0, 0)
+	}
 	return st
 }
 
@@ -156,18 +170,24 @@
 	return out
 }
 
-// Target chooses the server for keys that have no owner: the one where they
-// cost least, and of those the one with the fewest keys.
-func Target(load *Load, servers []Server, table []Piece, first, last keyrange.Key) (topo.ServerID, bool) {
+// Targets chooses the servers for keys that have no owner, one for each range:
+// where the keys cost least, and of those the one with the fewest keys. It
+// returns nil without servers.
+func Targets(load *Load, servers []Server, table, free []Piece) []topo.ServerID {
 	st := newState(load, servers, table)
-	moved := load.Between(first, last)
-	best := st.sorted(func(s *share) float64 {
-		return s.cost(s.load) - s.cost(s.load+moved) - float64(s.keys)/keyrange.Keys
-	})
-	if len(best) == 0 {
-		return "", false
+	if len(st.all) == 0 {
+		return nil
+	}
+	out := make([]topo.ServerID, 0, len(free))
+	for _, p := range free {
+		moved := load.Between(p.First, p.Last)
+		best := st.first(1, func(s *share) float64 {
+			return s.cost(s.load) - s.cost(s.load+moved) - float64(s.keys)/keyrange.Keys
+		})[0]
+		best.change(moved, p.width())
+		out = append(out, best.ID)
 	}
-	return best[0].ID, true
+	return out
 }
 
 // Divide returns the parts of first..last in which a leaving server's keys
@@ -210,18 +230,42 @@
 	return out
 }
 
+// margin is the marginal cost of a server.
+func margin(s *share) float64 { return s.marginal }
+
+// first returns the n servers with the largest key in decreasing order, ties
+// by id.
+func (st *state) first(n int, key func(*share) float64) []*share {
+	out := make([]*share, 0, n+1)
+	for _, s := range st.all {
+		i, _ := slices.BinarySearchFunc(out, s, func(a, b *share) int {
+			if c := cmp.Compare(key(b), key(a)); c != 0 {
+				return c
+			}
+			return cmp.Compare(a.ID, b.ID)
+		})
+		if i == n {
+			continue
+		}
+		if out = slices.Insert(out, i, s); len(out) > n {
+			out = out[:n]
+		}
+	}
+	return out
+}
+
 // next returns the most useful move.
 func (st *state) next() (Move, bool) {
 	if m, ok := st.fillEmpty(); ok {
 		return m, true
 	}
-	from := st.sorted((*share).marginal)
-	to := st.sorted(func(s *share) float64 { return -s.marginal() })
+	from := st.first(givers, margin)
+	to := st.first(takers, func(s *share) float64 { return -s.marginal })
 	var best Move
 	bestGain := 0.0
-	for _, f := range from[:min(givers, len(from))] {
-		for _, t := range to[:min(takers, len(to))] {
-			if f.ID == t.ID || f.marginal() <= t.marginal() {
+	for _, f := range from {
+		for _, t := range to {
+			if f.ID == t.ID || f.marginal <= t.marginal {
 				continue
 			}
 			for _, part := range []float64{2, 4, 8} {
@@ -241,7 +285,7 @@
 		if to.keys > 0 {
 			continue
 		}
-		for _, from := range st.sorted((*share).marginal) {
+		for _, from := range st.sorted(margin) {
 			if from.ID == to.ID || from.keys == 0 {
 				continue
 			}
@@ -249,10 +293,7 @@
 			if to.ColdRate > 0 {
 				want = min(want, to.ColdRate*coldShare)
 			}
-			for _, p := range st.table {
-				if p.Owner != from.ID || !p.movable() {
-					continue
-				}
+			for _, p := range from.held {
 				if end, _ := st.load.Cut(p.First, p.Last, want); end < p.Last {
 					return Move{First: p.First, Last: end, Target: to.ID}, true
 				}
@@ -267,15 +308,12 @@
 func (st *state) shed(from, to *share, want float64) (Move, float64) {
 	var best Move
 	bestGain := 0.0
-	before := from.cost(from.load) + to.cost(to.load)
-	for _, p := range st.table {
-		if p.Owner != from.ID || !p.movable() {
-			continue
-		}
+	before, usual := from.cost(from.load)+to.cost(to.load), from.time(from.load)
+	for _, p := range from.held {
 		for _, m := range st.candidates(p, want) {
 			moved := st.load.Between(m.First, m.Last)
 			gain := before - from.cost(from.load-moved) - to.cost(to.load+moved)
-			if moved < minLoad || gain < minGain*moved*from.time(from.load) || gain <= bestGain {
+			if moved < minLoad || gain < minGain*moved*usual || gain <= bestGain {
 				continue
 			}
 			best, bestGain = m, gain
@@ -330,31 +368,33 @@
 
 // apply changes the state as if the move had been made.
 func (st *state) apply(m Move) {
-	var out []Piece
-	for _, p := range st.table {
-		if p.Last < m.First || p.First > m.Last {
-			out = append(out, p)
+	for _, from := range st.all {
+		i := slices.IndexFunc(from.held, func(p Piece) bool { return p.First <= m.First && m.Last <= p.Last })
+		if i < 0 {
 			continue
 		}
-		if p.First < m.First {
-			out = append(out, Piece{First: p.First, Last: m.First - 1, Owner: p.Owner, Moving: p.Moving, Fixed: p.Fixed})
-		}
-		moved := Piece{First: max(p.First, m.First), Last: min(p.Last, m.Last), Owner: m.Target, Moving: true}
-		out = append(out, moved)
-		st.account(p.Owner, m.Target, moved)
-		if p.Last > m.Last {
-			out = append(out, Piece{First: m.Last + 1, Last: p.Last, Owner: p.Owner, Moving: p.Moving, Fixed: p.Fixed})
+		load, keys := st.load.Between(m.First, m.Last), int(m.Last)-int(m.First)+1
+		from.held = slices.Replace(from.held, i, i+1, from.held[i].without(m)...)
+		from.change(-load, -keys)
+		if to := st.byID[m.Target]; to != nil {
+			to.change(load, keys)
 		}
+		return
 	}
-	st.table = out
 }
 
-func (st *state) account(from, to topo.ServerID, p Piece) {
-	load := st.load.Between(p.First, p.Last)
-	if s := st.byID[from]; s != nil {
-		s.load, s.keys = s.load-load, s.keys-p.width()
+// without returns the movable parts of a piece that a move leaves.
+func (p Piece) without(m Move) []Piece {
+	var out []Piece
+	if p.First < m.First {
+		left := p
+		left.Last = m.First - 1
+		out = append(out, left)
 	}
-	if s := st.byID[to]; s != nil {
-		s.load, s.keys = s.load+load, s.keys+p.width()
+	if p.Last > m.Last {
+		right := p
+		right.First = m.Last + 1
+		out = append(out, right)
 	}
+	return slices.DeleteFunc(out, func(p Piece) bool { return !p.movable() })
 }
--- a/placement/plan_test.go
+++ b/placement/plan_test.go
@@ -46,7 +46,7 @@
 		if len(plan) == 0 {
 			return moves
 		}
-		st := newState(s.load, s.servers, s.table)
+		st := newNaiveState(s.load, s.servers, s.table)
 		for _, m := range plan {
 			st.apply(m)
 		}
@@ -157,7 +157,7 @@
 	s.feed(0, keyrange.MaxKey, 60)
 	s.servers = append(s.servers, Server{ID: "new", Slots: 3}, Server{ID: "cold", Slots: 3, ColdRate: 4})
 	s.settle(t)
-	st := newState(s.load, s.servers, s.table)
+	st := newNaiveState(s.load, s.servers, s.table)
 	require.Positive(t, st.byID["new"].keys)
 	require.Positive(t, st.byID["cold"].keys)
 	require.LessOrEqual(t, st.byID["cold"].load, 4.0)
@@ -175,3 +175,59 @@
 	require.Equal(t, keyrange.Key(0), parts[0].First)
 	require.Equal(t, keyrange.Key(300*BucketWidth-1), parts[len(parts)-1].Last)
 }
+
+// Guards against a faster search that plans other moves than the plain one.
+func TestPlanMatchesPlainSearch(t *testing.T) {
+	for _, n := range []int{1, 2, 5, 34, 120} {
+		load, servers, table := unevenService(n)
+		for round := range 12 {
+			want := naivePlan(load, servers, table)
+			require.Equal(t, want, Plan(load, servers, table), "%d servers, round %d", n, round)
+			st := newNaiveState(load, servers, table)
+			for _, m := range want {
+				st.apply(m)
+			}
+			table = st.table
+			for i := range table {
+				table[i].Moving = round%3 == 0 && table[i].Moving
+			}
+			switch round {
+			case 3:
+				servers = append(servers, Server{ID: "new", Slots: 3, ColdRate: 3.8})
+			case 6:
+				servers = servers[1:]
+			case 8:
+				load.Answered(servers[0].ID, 500, 3*time.Second)
+			}
+		}
+	}
+}
+
+// Guards against the keys of a lost data centre that all go to the same
+// servers: each range counts before the next one is placed.
+func TestTargetsSpreadTheKeysOfLostServers(t *testing.T) {
+	load, servers, table := unevenService(60)
+	lost := map[topo.ServerID]bool{}
+	for _, s := range servers[:15] {
+		lost[s.ID] = true
+	}
+	var kept, free []Piece
+	for _, p := range table {
+		if lost[p.Owner] {
+			free = append(free, p)
+		} else {
+			kept = append(kept, p)
+		}
+	}
+	targets := Targets(load, servers[15:], kept, free)
+	require.Len(t, targets, len(free))
+	got := map[topo.ServerID]int{}
+	for _, id := range targets {
+		require.False(t, lost[id])
+		got[id]++
+	}
+	for id, n := range got {
+		require.LessOrEqual(t, n, 3, "server %s", id)
+	}
+	require.Nil(t, Targets(load, nil, nil, free))
+}
