node, view, broker: lists of servers are built when servers change, keys looked at every 15 ms at most

Cause: each request for a slot built and sorted the list of the pool's servers from all servers; each change of a key table copied all servers; each answer of a server to an order (hundreds a second) made the leader look at all keys.

Tests: package view and package broker have tests of their own now.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -19,9 +19,13 @@
 // idleTTL is how long an unused pool is kept.
 const idleTTL = 30 * time.Second
 
+// Servers returns the servers of a pool and the version of the list. The list
+// is ignored when the version is the given one.
+type Servers func(pool string, since uint64) (list []permit.Server, version uint64)
+
 // Broker holds pools. It is safe for concurrent use.
 type Broker struct {
-	servers func(pool string) []permit.Server
+	servers Servers
 	divisor int
 
 	// kick tells Run that a request began to wait.
@@ -38,12 +42,13 @@
 	*permit.Pool
 	waiters map[uint64]chan permit.Decision
 	used    time.Time
+	// version is that of the list of servers.
+	version uint64
 }
 
-// New returns a broker. Servers returns the current servers of a pool. Divisor
-// divides their slots, for a broker that stands in for homes that do not
+// New returns a broker. Divisor divides their slots, for a broker that stands in for homes that do not
 // answer.
-func New(servers func(pool string) []permit.Server, divisor int, rng *rand.Rand) *Broker {
+func New(servers Servers, divisor int, rng *rand.Rand) *Broker {
 	return &Broker{
 		servers: servers, divisor: divisor, rng: rng,
 		pools: make(map[string]*pool), kick: make(chan struct{}, 1),
@@ -65,6 +70,7 @@
 	}
 	ch := make(chan permit.Decision, 1)
 	p.waiters[r.ID] = ch
+	b.tick(p, now)
 	b.mu.Unlock()
 	select {
 	case b.kick <- struct{}{}:
@@ -87,10 +93,18 @@
 		b.pools[name] = p
 	}
 	p.used = now
-	p.SetServers(now, b.servers(name))
+	b.update(p, name, now)
 	return p
 }
 
+// update takes over the current servers of a pool. The lock is held.
+func (b *Broker) update(p *pool, name string, now time.Time) {
+	if list, version := b.servers(name, p.version); version != p.version {
+		p.SetServers(now, list)
+		p.version = version
+	}
+}
+
 func (b *Broker) cancel(name string, id uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -150,7 +164,7 @@
 	for name, p := range b.pools {
 		switch {
 		case p.Waiting() > 0:
-			p.SetServers(now, b.servers(name))
+			b.update(p, name, now)
 			b.tick(p, now)
 			waiting = waiting || p.Waiting() > 0
 		case now.Sub(p.used) > idleTTL && p.Idle():
--- /dev/null
+++ b/broker/broker_test.go
@@ -0,0 +1,95 @@
+package broker
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitlock.example/godwitlock/clock"
+	"godwitlock.example/godwitlock/permit"
+	"godwitlock.example/godwitlock/topo"
+)
+
+// source is a list of servers whose version a test sets.
+type source struct {
+	list    []permit.Server
+	version uint64
+	built   int
+}
+
+func (s *source) servers(_ string, since uint64) ([]permit.Server, uint64) {
+	if since == s.version {
+		return nil, s.version
+	}
+	s.built++
+	return s.list, s.version
+}
+
+func newBroker(slots ...int) (*Broker, *source) {
+	src := &source{version: 1}
+	for i, n := range slots {
+		src.list = append(src.list, permit.Server{ID: topo.ServerID(rune('a' + i)), Slots: n})
+	}
+	return New(src.servers, 1, rand.New(rand.NewPCG(1, 2))), src
+}
+
+func request() permit.Request {
+	now := clock.Boot()
+	return permit.Request{StartBy: now.Add(time.Hour), PromptBy: now.Add(time.Hour), Lease: time.Hour}
+}
+
+// waitFor waits until n requests wait at the broker.
+func waitFor(t *testing.T, b *Broker, n int) {
+	t.Helper()
+	require.Eventually(t, func() bool { w, _ := b.Depth(); return w == n }, time.Minute, time.Millisecond)
+}
+
+// Guards against a slot that is given back and not handed to who waits.
+func TestFinishHandsTheSlotOn(t *testing.T) {
+	b, _ := newBroker(1)
+	first, ok := b.Acquire(t.Context(), "p", request())
+	require.True(t, ok)
+	require.Equal(t, permit.Granted, first.Verdict)
+	got := make(chan permit.Decision, 1)
+	go func() { d, _ := b.Acquire(t.Context(), "p", request()); got <- d }()
+	waitFor(t, b, 1)
+	b.Finish("p", first.ID, permit.Result{Work: time.Millisecond})
+	require.Equal(t, permit.Granted, (<-got).Verdict)
+	waiting, running := b.Depth()
+	require.Equal(t, [2]int{0, 1}, [2]int{waiting, running})
+}
+
+// Guards against a caller that left and still gets a slot, which then stays
+// taken until its lease ends.
+func TestCancelledRequestTakesNoSlot(t *testing.T) {
+	b, _ := newBroker(1)
+	first, _ := b.Acquire(t.Context(), "p", request())
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan bool, 1)
+	go func() { _, ok := b.Acquire(ctx, "p", request()); done <- ok }()
+	waitFor(t, b, 1)
+	cancel()
+	require.False(t, <-done)
+	waitFor(t, b, 0)
+	b.Finish("p", first.ID, permit.Result{Work: time.Millisecond})
+	_, running := b.Depth()
+	require.Zero(t, running)
+}
+
+// Guards against a pool that keeps servers which have left, and against a list
+// of servers that is built for each request.
+func TestServersFollowTheirVersion(t *testing.T) {
+	b, src := newBroker(2)
+	for range 2 {
+		d, _ := b.Acquire(t.Context(), "p", request())
+		require.Equal(t, permit.Granted, d.Verdict)
+	}
+	require.Equal(t, 1, src.built)
+	src.list, src.version = nil, 2
+	d, ok := b.Acquire(t.Context(), "p", request())
+	require.True(t, ok)
+	require.Equal(t, permit.Refused, d.Verdict)
+}
--- a/node/assigner.go
+++ b/node/assigner.go
@@ -25,6 +25,9 @@
 const (
 	// assignInterval is how often the leader looks for orders that are due.
 	assignInterval = 100 * time.Millisecond
+	// roundGap is the least time between two looks at all keys: answers of
+	// servers come in hundreds a second, and each may allow a next order.
+	roundGap = 15 * time.Millisecond
 	// planInterval is how often the leader looks for better places of keys.
 	planInterval = 400 * time.Millisecond
 	// firstServers is how long the leader waits for servers to register
@@ -100,7 +103,7 @@
 		}
 		pause(ctx, assignInterval)
 	}
-	t := time.NewTicker(assignInterval)
+	t := time.NewTimer(0)
 	defer t.Stop()
 	for a.leads() && ctx.Err() == nil {
 		select {
@@ -111,11 +114,14 @@
 			return
 		default:
 		}
+		began := clock.Boot()
 		a.round()
+		t.Reset(assignInterval)
 		select {
 		case <-t.C:
 		case f := <-a.results.C():
 			f()
+			pause(ctx, roundGap-clock.Boot().Sub(began))
 		case <-ctx.Done():
 		}
 		a.drainResults()
@@ -333,29 +339,46 @@
 
 // assignFree gives keys without an owner to servers.
 func (a *assigner) assignFree(now time.Time, m *ownership.Machine, snap *view.Snapshot, svc *routemap.Service) {
-	var servers []placement.Server
+	var free []*ownership.Hold
+	var without []placement.Piece
 	for _, h := range m.Holds() {
 		if h.Phase != ownership.Free {
 			continue
 		}
-		if servers == nil {
-			if servers = placementServers(snap, svc, now); len(servers) == 0 {
-				return
-			}
+		free = append(free, h)
+		if h.Target == "" || snap.Usable(h.Target) == nil {
+			h.Target = ""
+			without = append(without, placement.Piece{First: h.First, Last: h.Last})
 		}
-		target := h.Target
-		if target == "" || snap.Usable(target) == nil {
-			a.loads.with(svc.Name, func(l *placement.Load) {
-				target, _ = placement.Target(l, servers, pieces(now, m), h.First, h.Last)
-			})
+	}
+	if len(free) == 0 {
+		return
+	}
+	var targets []topo.ServerID
+	if len(without) > 0 {
+		servers := placementServers(snap, svc, now)
+		a.loads.with(svc.Name, func(l *placement.Load) {
+			targets = placement.Targets(l, servers, pieces(now, m), without)
+		})
+		if targets == nil {
+			return
 		}
-		h.Target = target
-		if !m.Assign(h, ownerOf(snap, target)) {
-			continue
+	}
+	for _, h := range free {
+		if h.Target == "" {
+			h.Target, targets = targets[0], targets[1:]
 		}
-		a.node.log.Event("keys_assigned").Str("service", string(svc.Name)).Uint16("first", h.First).
-			Uint16("last", h.Last).Str("from", string(h.Server)).Str("to", string(target)).Send()
+		a.assign(m, snap, svc, h)
+	}
+}
+
+// assign gives the keys of a free hold to its target.
+func (a *assigner) assign(m *ownership.Machine, snap *view.Snapshot, svc *routemap.Service, h *ownership.Hold) {
+	if !m.Assign(h, ownerOf(snap, h.Target)) {
+		return
 	}
+	a.node.log.Event("keys_assigned").Str("service", string(svc.Name)).Uint16("first", h.First).
+		Uint16("last", h.Last).Str("from", string(h.Server)).Str("to", string(h.Target)).Send()
 }
 
 // store writes the pending table of a machine. Changes of a moment are written
--- a/node/node.go
+++ b/node/node.go
@@ -245,7 +245,9 @@
 }
 
 // poolServers returns the servers of a pool of slots.
-func (n *Node) poolServers(pool string) []permit.Server { return poolServers(n.view.Snapshot(), pool) }
+func (n *Node) poolServers(pool string, since uint64) ([]permit.Server, uint64) {
+	return poolServers(n.view.Snapshot(), pool, since)
+}
 
 // runFollow follows the leader until ctx ends.
 func (n *Node) runFollow(ctx context.Context) error {
--- a/node/pools.go
+++ b/node/pools.go
@@ -6,17 +6,18 @@
 	"godwitlock.example/godwitlock/view"
 )
 
-// poolServers returns the servers whose slots a pool has.
-func poolServers(snap *view.Snapshot, pool string) []permit.Server {
-	if snap.Routes == nil {
-		return nil
+// poolServers returns the servers whose slots a pool has and the version of the
+// list; no list when it is the version that the caller has.
+func poolServers(snap *view.Snapshot, pool string, since uint64) ([]permit.Server, uint64) {
+	if snap.Routes == nil || snap.ServersVersion == since {
+		return nil, snap.ServersVersion
 	}
 	list := snap.PoolServers(pool)
 	out := make([]permit.Server, 0, len(list))
 	for _, s := range list {
 		out = append(out, permitServer(snap, s))
 	}
-	return out
+	return out, snap.ServersVersion
 }
 
 func permitServer(snap *view.Snapshot, s *directory.Server) permit.Server {
--- a/view/homes.go
+++ b/view/homes.go
@@ -126,13 +126,5 @@
 }
 
 // ServersOf returns the usable servers of a service, in the order of their ids.
-func (s *Snapshot) ServersOf(name topo.ServiceName) []*directory.Server {
-	var out []*directory.Server
-	for id, srv := range s.Servers {
-		if srv.Service == name && !s.Unusable[id] {
-			out = append(out, srv)
-		}
-	}
-	slices.SortFunc(out, func(a, b *directory.Server) int { return cmp.Compare(a.ID, b.ID) })
-	return out
-}
+// The list must not be changed.
+func (s *Snapshot) ServersOf(name topo.ServiceName) []*directory.Server { return s.usable[name] }
--- a/view/view.go
+++ b/view/view.go
@@ -4,6 +4,8 @@
 package view
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,9 +43,12 @@
 	Servers map[topo.ServerID]*directory.Server
 	// Unusable are servers that take no new requests.
 	Unusable map[topo.ServerID]bool
-	Tables   map[topo.ServiceName]*keyrange.Table
-	Members  []Member
-	homes    *homeCache
+	// ServersVersion changes with Routes, Servers and Unusable.
+	ServersVersion uint64
+	usable         map[topo.ServiceName][]*directory.Server
+	Tables         map[topo.ServiceName]*keyrange.Table
+	Members        []Member
+	homes          *homeCache
 }
 
 // Usable returns a server if new requests may be sent to it, or nil.
@@ -77,6 +82,7 @@
 	homes     *homeCache
 	built     uint64
 	dirty     bool
+	routed    uint64
 	changed   chan struct{}
 	// confirmed is the time, by the boot-time clock, up to which the
 	// configuration is known to be the newest one.
@@ -130,6 +136,7 @@
 		return false
 	}
 	v.routes, v.configRaw, v.configRev = m, raw, rev
+	v.routed++
 	v.dirty = true
 	v.publish()
 	return true
@@ -204,17 +211,33 @@
 	}
 	v.built, v.dirty = v.dir.Version(), false
 	s := &Snapshot{
-		Routes: v.routes, Tables: v.tables, Members: v.members,
-		Servers: make(map[topo.ServerID]*directory.Server), Unusable: make(map[topo.ServerID]bool),
+		Routes: v.routes, Tables: v.tables, Members: v.members, homes: v.homes,
+		ServersVersion: v.dir.Version() + v.routed,
 	}
-	v.dir.Servers(func(d *directory.Server) {
+	// Tables change far more often than servers, which are copied only then.
+	if last := v.snapshot.Load(); last.Servers != nil && last.ServersVersion == s.ServersVersion {
+		s.Servers, s.Unusable, s.usable = last.Servers, last.Unusable, last.usable
+	} else {
+		s.copyServers(v.dir)
+	}
+	v.snapshot.Store(s)
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+// copyServers takes over the servers of a directory.
+func (s *Snapshot) copyServers(dir *directory.Directory) {
+	s.Servers, s.Unusable = make(map[topo.ServerID]*directory.Server), make(map[topo.ServerID]bool)
+	s.usable = make(map[topo.ServiceName][]*directory.Server)
+	dir.Servers(func(d *directory.Server) {
 		s.Servers[d.ID] = d
-		if !v.dir.Usable(d) {
+		if !dir.Usable(d) {
 			s.Unusable[d.ID] = true
+			return
 		}
+		s.usable[d.Service] = append(s.usable[d.Service], d)
 	})
-	s.homes = v.homes
-	v.snapshot.Store(s)
-	close(v.changed)
-	v.changed = make(chan struct{})
+	for _, list := range s.usable {
+		slices.SortFunc(list, func(a, b *directory.Server) int { return cmp.Compare(a.ID, b.ID) })
+	}
 }
--- /dev/null
+++ b/view/view_test.go
@@ -0,0 +1,59 @@
+package view
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitlock.example/godwitlock/directory"
+	"godwitlock.example/godwitlock/keyrange"
+	"godwitlock.example/godwitlock/routemap"
+	"godwitlock.example/godwitlock/topo"
+)
+
+func put(v *View, s directory.Server) {
+	s.State = directory.Ready
+	v.Directory(func(d *directory.Directory) { d.Put(s) })
+}
+
+// Guards against a VM that copies all servers whenever keys move, which in a
+// large fleet they do several times a second.
+func TestTablesKeepTheServers(t *testing.T) {
+	v := New()
+	put(v, directory.Server{ID: "b", Service: "s", Rev: 1})
+	put(v, directory.Server{ID: "a", Service: "s", Rev: 2})
+	before := v.Snapshot()
+	tables := map[topo.ServiceName]*keyrange.Table{"s": {Service: "s"}}
+	require.True(t, v.SetTables(TableVersion{Term: 1, Version: 1}, tables))
+	after := v.Snapshot()
+	require.Equal(t, tables, after.Tables)
+	require.Equal(t, before.ServersVersion, after.ServersVersion)
+	require.Zero(t, testing.AllocsPerRun(10, func() { after.ServersOf("s") }))
+	ids := func(s *Snapshot) (out []topo.ServerID) {
+		for _, srv := range s.ServersOf("s") {
+			out = append(out, srv.ID)
+		}
+		return out
+	}
+	require.Equal(t, []topo.ServerID{"a", "b"}, ids(after))
+}
+
+// Guards against a home VM that goes on with servers of an older directory or
+// configuration.
+func TestServersVersionFollowsServersAndRoutes(t *testing.T) {
+	v := New()
+	put(v, directory.Server{ID: "a", Service: "s", DataCentre: "x", Rev: 1})
+	last := v.Snapshot().ServersVersion
+	step := func(what string) {
+		require.NotEqual(t, last, v.Snapshot().ServersVersion, what)
+		last = v.Snapshot().ServersVersion
+	}
+	put(v, directory.Server{ID: "b", Service: "s", Rev: 2})
+	step("a server came")
+	v.Directory(func(d *directory.Directory) { d.SetEvacuated([]topo.DataCentreName{"x"}, 3) })
+	step("a data centre went out of service")
+	require.Nil(t, v.Snapshot().Usable("a"))
+	require.Len(t, v.Snapshot().ServersOf("s"), 1)
+	require.True(t, v.SetConfig(&routemap.Map{Version: 1}, nil, 4))
+	step("the configuration changed")
+}
