placement: load is counted by key, and moves may fill a server's room

Cause: in a large service the neighbours of a hot key are as hot. Load was counted by 16 neighbouring keys, which then bring several times what one server does and cannot be divided; and a plan moved a half, a quarter or an eighth of a server's load although less fits at the other server.

Change: load is kept by key, with sums so that a range's load and a cut cost no walk; a move may also be as large as the room of the server that takes over. The hottest bucket alone is no candidate any more: cuts by load isolate it.

--- a/fleet/hub.go
+++ b/fleet/hub.go
@@ -29,8 +29,8 @@
 
 // Loads receives what VMs report of their work.
 type Loads interface {
-	// Count records requests for keys of a bucket of a keyed service.
-	Count(service topo.ServiceName, bucket int, n float64)
+	// Count records requests for a key of a keyed service.
+	Count(service topo.ServiceName, key keyrange.Key, n float64)
 	// Answered records answers of a server and their mean time of work.
 	Answered(id topo.ServerID, n int, mean time.Duration)
 }
@@ -289,9 +289,9 @@
 		return &fleetpb.ReportResponse{}
 	}
 	for _, l := range req.GetLoads() {
-		for i, b := range l.GetBuckets() {
-			if i < len(l.GetCounts()) {
-				h.loads.Count(topo.ServiceName(l.GetService()), int(b), float64(l.GetCounts()[i]))
+		for i, k := range l.GetKeys() {
+			if i < len(l.GetCounts()) && k <= uint32(keyrange.MaxKey) {
+				h.loads.Count(topo.ServiceName(l.GetService()), keyrange.Key(k), float64(l.GetCounts()[i]))
 			}
 		}
 	}
--- a/node/assigner.go
+++ b/node/assigner.go
@@ -556,8 +556,8 @@
 }
 
 // Count implements fleet.Loads.
-func (l *loads) Count(service topo.ServiceName, bucket int, n float64) {
-	l.with(service, func(x *placement.Load) { x.Count(bucket, n) })
+func (l *loads) Count(service topo.ServiceName, key keyrange.Key, n float64) {
+	l.with(service, func(x *placement.Load) { x.Count(key, n) })
 }
 
 // Answered implements fleet.Loads.
--- a/node/reports.go
+++ b/node/reports.go
@@ -9,7 +9,6 @@
 	"godwitlock.example/godwitlock/fleet/fleetpb"
 	"godwitlock.example/godwitlock/keyrange"
 	"godwitlock.example/godwitlock/metric"
-	"godwitlock.example/godwitlock/placement"
 	"godwitlock.example/godwitlock/quota"
 	"godwitlock.example/godwitlock/routemap"
 	"godwitlock.example/godwitlock/topo"
@@ -37,14 +36,14 @@
 	vm      topo.VMID
 
 	mu    sync.Mutex
-	loads map[topo.ServiceName]map[int]int
+	loads map[topo.ServiceName]map[keyrange.Key]int
 	work  map[topo.ServerID]work
 }
 
 func newReports(vm topo.VMID, m *metric.Set) *reports {
 	return &reports{
 		vm: vm, metrics: m,
-		loads: make(map[topo.ServiceName]map[int]int), work: make(map[topo.ServerID]work),
+		loads: make(map[topo.ServiceName]map[keyrange.Key]int), work: make(map[topo.ServerID]work),
 	}
 }
 
@@ -52,12 +51,12 @@
 func (r *reports) Arrived(service topo.ServiceName, key keyrange.Key) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	buckets := r.loads[service]
-	if buckets == nil {
-		buckets = make(map[int]int)
-		r.loads[service] = buckets
+	keys := r.loads[service]
+	if keys == nil {
+		keys = make(map[keyrange.Key]int)
+		r.loads[service] = keys
 	}
-	buckets[placement.BucketOf(key)]++
+	keys[key]++
 }
 
 // Worked implements forward.Stats.
@@ -78,10 +77,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	req := &fleetpb.ReportRequest{Vm: string(r.vm), IntervalMs: interval.Milliseconds()}
-	for service, buckets := range r.loads {
-		l := &fleetpb.BucketLoad{Service: string(service)}
-		for b, n := range buckets {
-			l.Buckets, l.Counts = append(l.Buckets, uint32(b)), append(l.Counts, uint32(n))
+	for service, keys := range r.loads {
+		l := &fleetpb.KeyLoad{Service: string(service)}
+		for k, n := range keys {
+			l.Keys, l.Counts = append(l.Keys, uint32(k)), append(l.Counts, uint32(n))
 		}
 		req.Loads = append(req.Loads, l)
 	}
--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"godwitlock.example/godwitlock/keyrange"
 	"godwitlock.example/godwitlock/topo"
 )
 
@@ -34,12 +35,12 @@
 		servers = append(servers, Server{ID: id, Slots: 6})
 		load.Answered(id, 1000, time.Duration(float64(500*time.Millisecond)*speeds[i%3]))
 	}
-	for bucket := range Buckets {
-		rate := 2100.0 / Buckets
-		if bucket > 2000 && bucket < 2040 {
+	for k := range keyrange.Keys {
+		rate := 2100.0 / keyrange.Keys
+		if k > 32000 && k < 32640 {
 			rate *= 8
 		}
-		load.Count(bucket, rate*float64(n)/375)
+		load.Count(keyrange.Key(k), rate*float64(n)/375)
 	}
 	var table []Piece
 	for i, p := range Initial(servers) {
--- a/placement/load.go
+++ b/placement/load.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"sort"
 	"time"
 
 	"godwitlock.example/godwitlock/keyrange"
@@ -12,12 +13,6 @@
 )
 
 const (
-	// BucketWidth is the number of neighbouring keys whose load is counted
-	// together. It divides a stretch of a few dozen hot keys into several
-	// parts.
-	BucketWidth = 16
-	// Buckets is the number of buckets.
-	Buckets = keyrange.Keys / BucketWidth
 	// loadMemory is the time constant of the load's average: long enough for
 	// some requests a bucket, short enough to follow a key that turned hot
 	// within about a second.
@@ -30,14 +25,14 @@
 	firstWork = 0.15
 )
 
-// BucketOf returns the bucket of a key.
-func BucketOf(k keyrange.Key) int { return int(k) / BucketWidth }
-
-// Load is the load of one service: requests per second by bucket, and the
+// Load is the load of one service: requests per second by key, and the
 // speed of its servers. It is not safe for concurrent use.
 type Load struct {
-	rate [Buckets]float64
-	last time.Time
+	rate [keyrange.Keys]float64
+	// before holds the sums of rate, unless it is stale.
+	before [keyrange.Keys + 1]float64
+	stale  bool
+	last   time.Time
 	// work is the mean time of work by server, usual that of all, in seconds.
 	work  map[topo.ServerID]float64
 	usual float64
@@ -53,15 +48,15 @@
 		for i := range l.rate {
 			l.rate[i] *= f
 		}
+		l.stale = true
 	}
 	l.last = now
 }
 
-// Count records n requests for keys of a bucket.
-func (l *Load) Count(bucket int, n float64) {
-	if bucket >= 0 && bucket < Buckets {
-		l.rate[bucket] += n / loadMemory.Seconds()
-	}
+// Count records n requests for a key.
+func (l *Load) Count(key keyrange.Key, n float64) {
+	l.rate[key] += n / loadMemory.Seconds()
+	l.stale = true
 }
 
 // Answered records the answers of a server: their number and mean time of
@@ -85,31 +80,40 @@
 	return l.usual
 }
 
+// sums returns the load of all keys before each key.
+func (l *Load) sums() *[keyrange.Keys + 1]float64 {
+	if l.stale {
+		total := 0.0
+		for k, v := range l.rate {
+			total += v
+			l.before[k+1] = total
+		}
+		l.stale = false
+	}
+	return &l.before
+}
+
 // Between returns the load of the keys from first to last, in requests per
-// second. A bucket that is only partly inside counts by its share.
+// second.
 func (l *Load) Between(first, last keyrange.Key) float64 {
-	total := 0.0
-	for k := int(first); k <= int(last); {
-		b := k / BucketWidth
-		end := min((b+1)*BucketWidth-1, int(last))
-		total += l.rate[b] * float64(end-k+1) / BucketWidth
-		k = end + 1
-	}
-	return total
+	s := l.sums()
+	return s[int(last)+1] - s[first]
 }
 
 // Cut returns the last key of the shortest part of first..last, from its
 // beginning, that has at least the given load, and the load of that part.
 func (l *Load) Cut(first, last keyrange.Key, load float64) (keyrange.Key, float64) {
-	total := 0.0
-	for k := int(first); k <= int(last); {
-		b := k / BucketWidth
-		end := min((b+1)*BucketWidth-1, int(last))
-		total += l.rate[b] * float64(end-k+1) / BucketWidth
-		if total >= load {
-			return keyrange.Key(end), total
-		}
-		k = end + 1
-	}
-	return last, total
+	s := l.sums()
+	n := sort.Search(int(last)-int(first), func(i int) bool { return s[int(first)+i+1]-s[first] >= load })
+	end := first + keyrange.Key(n)
+	return end, l.Between(first, end)
+}
+
+// cutBack returns the first key of the shortest part of a piece, from its end,
+// that has at least the given load; false when that is the whole piece.
+func (l *Load) cutBack(p Piece, load float64) (keyrange.Key, bool) {
+	s := l.sums()
+	end := s[int(p.Last)+1]
+	n := sort.Search(p.width(), func(i int) bool { return end-s[int(p.Last)-i] >= load })
+	return p.Last - keyrange.Key(n), n < p.width()-1
 }
--- a/placement/naive_test.go
+++ b/placement/naive_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 
-	"godwitlock.example/godwitlock/keyrange"
 	"godwitlock.example/godwitlock/topo"
 )
 
@@ -21,24 +19,15 @@
 	keys       int
 }
 
-// time returns the expected time of a request, in seconds, when the server's
-// keys bring the given load: work, and the wait for one of its slots (the
-// approximation of Sakasegawa for a queue with several servers).
-func (s *naiveShare) time(load float64) float64 {
-	slots := float64(s.Slots)
-	capacity := slots / s.work
-	if s.ColdRate > 0 {
-		capacity = min(capacity, s.ColdRate*coldShare)
-	}
-	use := load / capacity
-	over := max(0, use-fullLoad)
-	use = min(use, fullLoad)
-	wait := math.Pow(use, math.Sqrt(2*(slots+1))-1) / (slots * (1 - use))
-	return s.work*(1+wait) + over*overloadWait
-}
-
 // cost is the sum of the expected times of a second's requests.
-func (s *naiveShare) cost(load float64) float64 { return load * s.time(load) }
+func (s *naiveShare) cost(load float64) float64 { return s.plain().cost(load) }
+
+func (s *naiveShare) time(load float64) float64 { return s.plain().time(load) }
+
+func (s *naiveShare) room() float64 { return s.plain().room() }
+
+// plain is the share for the cost model, which both forms use.
+func (s *naiveShare) plain() *share { return &share{Server: s.Server, work: s.work, load: s.load} }
 
 // marginal is what one more request per second costs.
 func (s *naiveShare) marginal() float64 { return s.cost(s.load+1) - s.cost(s.load) }
@@ -120,8 +109,8 @@
 			if f.ID == t.ID || f.marginal() <= t.marginal() {
 				continue
 			}
-			for _, part := range []float64{2, 4, 8} {
-				m, gain := st.shed(f, t, f.load/part)
+			for _, want := range []float64{f.load / 2, f.load / 4, f.load / 8, t.room()} {
+				m, gain := st.shed(f, t, want)
 				if gain > bestGain {
 					best, bestGain = m, gain
 				}
@@ -191,21 +180,6 @@
 	if start, ok := st.load.cutBack(p, want); ok {
 		out = append(out, Move{First: start, Last: p.Last})
 	}
-	hot, rate := -1, 0.0
-	for b := BucketOf(p.First); b <= BucketOf(p.Last); b++ {
-		if st.load.rate[b] > rate {
-			hot, rate = b, st.load.rate[b]
-		}
-	}
-	if hot >= 0 {
-		m := Move{
-			First: max(p.First, keyrange.Key(hot*BucketWidth)),
-			Last:  min(p.Last, keyrange.Key(hot*BucketWidth+BucketWidth-1)),
-		}
-		if m.First > p.First || m.Last < p.Last {
-			out = append(out, m)
-		}
-	}
 	return out
 }
 
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -13,6 +13,8 @@
 	// fullLoad is the utilisation from which waits are taken as growing in
 	// proportion to the excess, by overloadWait seconds for each unit.
 	fullLoad, overloadWait = 0.9, 6.0
+	// goodLoad is the utilisation up to which a server takes over keys at once.
+	goodLoad = 0.75
 	// minGain is the least part of its expected time that a moved request has
 	// to gain. Measured times scatter by about that much.
 	minGain = 0.3
@@ -80,17 +82,24 @@
 // approximation of Sakasegawa for a queue with several servers).
 func (s *share) time(load float64) float64 {
 	slots := float64(s.Slots)
-	capacity := slots / s.work
-	if s.ColdRate > 0 {
-		capacity = min(capacity, s.ColdRate*coldShare)
-	}
-	use := load / capacity
+	use := load / s.capacity()
 	over := max(0, use-fullLoad)
 	use = min(use, fullLoad)
 	wait := math.Pow(use, math.Sqrt(2*(slots+1))-1) / (slots * (1 - use))
 	return s.work*(1+wait) + over*overloadWait
 }
 
+// capacity returns the requests per second that the server can do.
+func (s *share) capacity() float64 {
+	if s.ColdRate > 0 {
+		return min(float64(s.Slots)/s.work, s.ColdRate*coldShare)
+	}
+	return float64(s.Slots) / s.work
+}
+
+// room returns the load that the server can take over without long waits.
+func (s *share) room() float64 { return max(minLoad, goodLoad*s.capacity()-s.load) }
+
 // cost is the sum of the expected times of a second's requests.
 func (s *share) cost(load float64) float64 { return load * s.time(load) }
 
@@ -268,8 +277,8 @@
 			if f.ID == t.ID || f.marginal <= t.marginal {
 				continue
 			}
-			for _, part := range []float64{2, 4, 8} {
-				m, gain := st.shed(f, t, f.load/part)
+			for _, want := range []float64{f.load / 2, f.load / 4, f.load / 8, t.room()} {
+				m, gain := st.shed(f, t, want)
 				if gain > bestGain {
 					best, bestGain = m, gain
 				}
@@ -324,7 +333,7 @@
 }
 
 // candidates returns the parts with about the wanted load at both ends of a
-// piece, and its hottest bucket.
+// piece.
 func (st *state) candidates(p Piece, want float64) []Move {
 	var out []Move
 	if end, _ := st.load.Cut(p.First, p.Last, want); end < p.Last {
@@ -333,39 +342,9 @@
 	if start, ok := st.load.cutBack(p, want); ok {
 		out = append(out, Move{First: start, Last: p.Last})
 	}
-	hot, rate := -1, 0.0
-	for b := BucketOf(p.First); b <= BucketOf(p.Last); b++ {
-		if st.load.rate[b] > rate {
-			hot, rate = b, st.load.rate[b]
-		}
-	}
-	if hot >= 0 {
-		m := Move{
-			First: max(p.First, keyrange.Key(hot*BucketWidth)),
-			Last:  min(p.Last, keyrange.Key(hot*BucketWidth+BucketWidth-1)),
-		}
-		if m.First > p.First || m.Last < p.Last {
-			out = append(out, m)
-		}
-	}
 	return out
 }
 
-// cutBack is Cut from the end of a piece.
-func (l *Load) cutBack(p Piece, want float64) (keyrange.Key, bool) {
-	total := 0.0
-	for k := int(p.Last); k >= int(p.First); {
-		b := k / BucketWidth
-		begin := max(b*BucketWidth, int(p.First))
-		total += l.rate[b] * float64(k-begin+1) / BucketWidth
-		if total >= want {
-			return keyrange.Key(begin), begin > int(p.First)
-		}
-		k = begin - 1
-	}
-	return p.First, false
-}
-
 // apply changes the state as if the move had been made.
 func (st *state) apply(m Move) {
 	for _, from := range st.all {
--- a/placement/plan_test.go
+++ b/placement/plan_test.go
@@ -32,9 +32,8 @@
 
 // feed puts a load of rate requests per second on the keys from first to last.
 func (s *site) feed(first, last keyrange.Key, rate float64) {
-	from, to := BucketOf(first), BucketOf(last)
-	for b := from; b <= to; b++ {
-		s.load.rate[b] += rate / float64(to-from+1)
+	for k := int(first); k <= int(last); k++ {
+		s.load.Count(keyrange.Key(k), rate/float64(int(last)-int(first)+1))
 	}
 }
 
@@ -46,20 +45,25 @@
 		if len(plan) == 0 {
 			return moves
 		}
-		st := newNaiveState(s.load, s.servers, s.table)
-		for _, m := range plan {
-			st.apply(m)
-		}
-		for i := range st.table {
-			st.table[i].Moving = false
-		}
-		s.table = st.table
+		s.carryOut(plan)
 		moves += len(plan)
 	}
 	t.Fatal("the plans do not come to an end")
 	return moves
 }
 
+// carryOut makes the moves of a plan.
+func (s *site) carryOut(plan []Move) {
+	st := newNaiveState(s.load, s.servers, s.table)
+	for _, m := range plan {
+		st.apply(m)
+	}
+	for i := range st.table {
+		st.table[i].Moving = false
+	}
+	s.table = st.table
+}
+
 // mean is the expected time of a request, in seconds.
 func (s *site) mean() float64 {
 	cost, load := 0.0, 0.0
@@ -113,6 +117,43 @@
 	require.Less(t, s.mean(), 0.3)
 }
 
+// Guards against hot neighbouring keys of a large service that cannot be
+// divided far enough, or only in many plans: each of a few hundred of them may
+// bring more than half of what a server can do.
+func TestHotKeysOfALargeServiceAreDividedSoon(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		servers       int
+		slots         int
+		work          time.Duration
+		usual, hot    float64
+		keys, inPlans int
+	}{
+		{"200 keys, 2 requests a second each", 342, 3, 243 * time.Millisecond, 1700, 412, 200, 5},
+		{"60 keys, 8 requests a second each", 375, 6, 500 * time.Millisecond, 2100, 500, 60, 5},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSite(c.servers)
+			for i := range s.servers {
+				s.servers[i].Slots = c.slots
+				s.work(string(s.servers[i].ID), c.work)
+			}
+			s.feed(0, keyrange.MaxKey, c.usual)
+			s.feed(2930, keyrange.Key(2930+c.keys-1), c.hot)
+			for range c.inPlans {
+				s.carryOut(Plan(s.load, s.servers, s.table))
+			}
+			checkWhole(t, s.table)
+			worst := 0.0
+			for _, sh := range newState(s.load, s.servers, s.table).all {
+				worst = max(worst, sh.load*sh.work/float64(sh.Slots))
+			}
+			t.Logf("busiest server: %.2f of what it can do, %d ranges", worst, len(s.table))
+			require.Less(t, worst, 1.0)
+		})
+	}
+}
+
 // Guards against slow servers that keep the same part of the load as fast
 // ones: a quarter each works twice as long and two thirds as long as usual.
 func TestFastServersGetMore(t *testing.T) {
@@ -167,13 +208,13 @@
 func TestLeavingKeysAreDivided(t *testing.T) {
 	l := NewLoad()
 	l.Decay(start)
-	for b := range 300 {
-		l.rate[b] = 0.1
+	for k := range 4800 {
+		l.Count(keyrange.Key(k), 0.1/16)
 	}
-	parts := Divide(l, 0, 300*BucketWidth-1)
+	parts := Divide(l, 0, 4799)
 	require.Len(t, parts, pieces)
 	require.Equal(t, keyrange.Key(0), parts[0].First)
-	require.Equal(t, keyrange.Key(300*BucketWidth-1), parts[len(parts)-1].Last)
+	require.Equal(t, keyrange.Key(4799), parts[len(parts)-1].Last)
 }
 
 // Guards against a faster search that plans other moves than the plain one.
