fleet: one sign of life for all requests that wait at a VM; small buffers and fixed windows between VMs

Cause: each request that waited for a slot at another VM asked that VM four times a second whether it is alive.

Change: fleet/liveness.go asks a VM at most once in 250 ms for all requests that wait there, and not while it answers any of them. Windows between VMs are fixed, buffers are 4 KB and shared.

Tests: one question for 500 requests; a silent VM still ends its requests within half a second.

--- a/fleet/slots.go
+++ b/fleet/slots.go
@@ -20,10 +20,6 @@
 )
 
 const (
-	// checkAfter is how long a request waits at a home VM before the VM is
-	// asked whether it is alive, and checkTimeout how long that may take.
-	checkAfter   = 250 * time.Millisecond
-	checkTimeout = 250 * time.Millisecond
 	// suspectTime is how long a home VM that did not answer is passed over.
 	suspectTime = 1500 * time.Millisecond
 	// finishTimeout bounds giving a slot back; its lease ends it otherwise.
@@ -42,6 +38,8 @@
 	local    *broker.Broker
 	fallback *broker.Broker
 
+	alive *liveness
+
 	mu      sync.Mutex
 	suspect map[string]time.Time
 }
@@ -49,9 +47,11 @@
 // NewSlots returns a client. Local holds the pools whose home is this VM, and
 // fallback divided ones for pools whose homes do not answer.
 func NewSlots(self topo.VMID, dc topo.DataCentreName, peers *peer.Pool, local, fallback *broker.Broker) *Slots {
-	return &Slots{
+	s := &Slots{
 		self: self, dc: dc, peers: peers, local: local, fallback: fallback, suspect: make(map[string]time.Time),
 	}
+	s.alive = newLiveness(s.ping, clock.Boot)
+	return s
 }
 
 // Acquire implements forward.Slots.
@@ -111,8 +111,8 @@
 	s.suspect[addr] = clock.Boot().Add(suspectTime)
 }
 
-// remote asks another VM for a slot. While the request waits there, the VM is
-// checked from time to time.
+// remote asks another VM for a slot. It fails when the VM shows no sign of life
+// while the request waits there.
 func (s *Slots) remote(ctx context.Context, addr, pool string, r permit.Request) (forward.Slot, permit.Decision, error) {
 	conn, err := s.peers.Conn(addr)
 	if err != nil {
@@ -121,9 +121,9 @@
 	client := fleetpb.NewFleetClient(conn)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	check := time.AfterFunc(checkAfter, func() { s.check(ctx, cancel, client) })
-	defer check.Stop()
+	leave := s.alive.wait(addr, func() { cancel(errSilent) })
 	resp, err := client.Acquire(ctx, acquireRequest(s.self, pool, r))
+	leave(err == nil)
 	if err != nil {
 		return nil, permit.Decision{}, errors.Annotatef(err, "slot of %s at %s", pool, addr)
 	}
@@ -137,21 +137,14 @@
 	return nil, permit.Decision{}, errors.Errorf("VM at %s is not home of %s", addr, pool)
 }
 
-// check ends a request for a slot when its VM does not answer.
-func (s *Slots) check(ctx context.Context, cancel context.CancelCauseFunc, client fleetpb.FleetClient) {
-	for ctx.Err() == nil {
-		cctx, stop := context.WithTimeout(ctx, checkTimeout)
-		_, err := client.Finish(cctx, &fleetpb.FinishRequest{Vm: string(s.self)})
-		stop()
-		if err != nil && ctx.Err() == nil {
-			cancel(errSilent)
-			return
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(checkAfter):
-		}
+// ping asks a VM for a sign of life.
+func (s *Slots) ping(ctx context.Context, addr string) error {
+	conn, err := s.peers.Conn(addr)
+	if err != nil {
+		return err
 	}
+	_, err = fleetpb.NewFleetClient(conn).Finish(ctx, &fleetpb.FinishRequest{Vm: string(s.self)})
+	return err
 }
 
 type remoteSlot struct {
--- a/node/node.go
+++ b/node/node.go
@@ -140,7 +140,7 @@
 		Budgets: forward.NewBudgets(n.bounds().RetryShare*retryShareUsed, n.retrySlack),
 	})
 	n.ingress = ingress.NewServer(n.platform.CallerHeaders(), n.forward.Serve, n.callerLimits)
-	n.grpc = grpc.NewServer()
+	n.grpc = grpc.NewServer(peer.ServerOptions()...)
 	fleetpb.RegisterFleetServer(n.grpc, fleet.NewServer(n.hub, n.broker, n.rates))
 	n.gauges()
 }
--- a/peer/client.go
+++ b/peer/client.go
@@ -27,6 +27,24 @@
 	connectTimeout    = 500 * time.Millisecond
 )
 
+const (
+	// bufferSize is that of a connection's buffers, in bytes. Each VM has a
+	// connection to and from every other one, and messages are small.
+	bufferSize = 4 << 10
+	// window is the flow-control window of a connection and its streams, in
+	// bytes. A fixed one saves the pings by which gRPC measures the path, of
+	// which every call causes one.
+	window = 256 << 10
+)
+
+// ServerOptions are the options of a server for other VMs.
+func ServerOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{
+		grpc.InitialWindowSize(window), grpc.InitialConnWindowSize(window),
+		grpc.ReadBufferSize(bufferSize), grpc.WriteBufferSize(bufferSize), grpc.SharedWriteBuffer(true),
+	}
+}
+
 // Pool keeps one gRPC connection per VM address. It is safe for concurrent
 // use.
 type Pool struct {
@@ -73,6 +91,11 @@
 		}),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithStatsHandler(&p.Traffic),
+		grpc.WithInitialWindowSize(window),
+		grpc.WithInitialConnWindowSize(window),
+		grpc.WithReadBufferSize(bufferSize),
+		grpc.WithWriteBufferSize(bufferSize),
+		grpc.WithSharedWriteBuffer(true),
 		grpc.WithDisableRetry(),
 	}
 	if p.dial != nil {
