permit: Retry-After spreads refused callers also when the wait is long

Cause: the time was spread first and cut at 1.5 s after, so that in a long overload all callers were told 1.5 s and returned together; and 1.5 s can be more than a third of the time that a caller has left, after which callers return anyway.

Change: the bound follows from the caller's time left and is taken before the spread.

Test: TestRefusedCallersReturnApart failed first.

--- a/permit/pool.go
+++ b/permit/pool.go
@@ -25,7 +25,10 @@
 	// minRetryAfter and maxRetryAfter bound when a refused caller should come
 	// back.
 	minRetryAfter = 60 * time.Millisecond
-	maxRetryAfter = 1500 * time.Millisecond
+	maxRetryAfter = 3 * time.Second
+	// comeBackPart divides the time that a caller has left: callers come back
+	// after a third of it at the latest, whatever they are told.
+	comeBackPart = 3
 )
 
 // Request asks for a slot.
@@ -148,7 +151,7 @@
 	p.expire(now)
 	p.arrivals.add(now)
 	if len(p.servers) == 0 {
-		return p.refuse(r.ID, 0)
+		return p.refuse(now, r, 0)
 	}
 	if p.queue.Len() == 0 {
 		if s := p.choose(now, r); s != nil {
@@ -157,7 +160,7 @@
 	}
 	wait, ok := p.estimate(now, r)
 	if !ok || now.Add(wait).After(r.StartBy) || p.queue.Len() >= maxWaiting {
-		return p.refuse(r.ID, wait)
+		return p.refuse(now, r, wait)
 	}
 	p.queue.push(now, r)
 	return Decision{ID: r.ID, Verdict: Queued}
@@ -219,7 +222,7 @@
 		if ok && !now.Add(wait/2).After(r.StartBy) {
 			return false
 		}
-		out = append(out, p.refuse(r.ID, wait))
+		out = append(out, p.refuse(now, r, wait))
 		return true
 	})
 	return out
@@ -304,8 +307,11 @@
 }
 
 // refuse tells the caller to come back when the queue should be shorter, at a
-// time that differs between callers.
-func (p *Pool) refuse(id uint64, wait time.Duration) Decision {
-	after := wait/2 + time.Duration(p.rng.Int64N(int64(max(wait, minRetryAfter))))
-	return Decision{ID: id, Verdict: Refused, RetryAfter: min(max(after, minRetryAfter), maxRetryAfter)}
+// time that differs between callers and leaves it most of its time.
+func (p *Pool) refuse(now time.Time, r Request, wait time.Duration) Decision {
+	latest := min(max(r.StartBy.Sub(now)/comeBackPart, minRetryAfter), maxRetryAfter)
+	// From half of the mean to half more, so that the latest is 3/2 of it.
+	mean := min(max(wait, minRetryAfter), latest*2/3)
+	after := mean/2 + time.Duration(p.rng.Int64N(int64(mean)))
+	return Decision{ID: r.ID, Verdict: Refused, RetryAfter: max(after, minRetryAfter)}
 }
--- a/permit/pool_test.go
+++ b/permit/pool_test.go
@@ -281,3 +281,22 @@
 	require.Less(t, mean, 400*time.Millisecond, "the objective")
 	require.Greater(t, got.prompt+got.late, 380, "the server is kept busy")
 }
+
+// Guards against callers that are all told the same time and return together,
+// or are told to return when their time is nearly over.
+func TestRefusedCallersReturnApart(t *testing.T) {
+	p := newPool(Server{ID: "s", Slots: 1})
+	left, earliest, latest := 4*time.Second, time.Hour, time.Duration(0)
+	for id := uint64(1); id < 400; id++ {
+		r := request(id, start)
+		r.StartBy = start.Add(left)
+		d := p.Offer(start, r)
+		if d.Verdict != Refused {
+			continue
+		}
+		earliest, latest = min(earliest, d.RetryAfter), max(latest, d.RetryAfter)
+	}
+	t.Logf("from %v to %v", earliest, latest)
+	require.LessOrEqual(t, latest, left/3)
+	require.Greater(t, latest-earliest, left/6)
+}
