keyrange: no empty range between neighbouring changes; a table that is not whole is not stored

Cause: the change that makes many changes with one copy put an empty range (5-4) between two changes that follow one another.

Change: nothing is taken between changes that touch, and Encode refuses a table that Decode would not accept.

Tests: neighbouring changes (rapid) and a broken table; both failed first.

--- a/keyrange/table.go
+++ b/keyrange/table.go
@@ -134,7 +134,7 @@
 // take appends the parts of ranges whose keys are at least from and below to,
 // and returns the ranges that reach to or beyond.
 func (t *Table) take(ranges []Range, from, to int) []Range {
-	for len(ranges) > 0 && int(ranges[0].First) < to {
+	for from < to && len(ranges) > 0 && int(ranges[0].First) < to {
 		r := ranges[0]
 		r.First, r.Last = Key(max(int(r.First), from)), Key(min(int(r.Last), to-1))
 		if int(ranges[0].Last) >= from {
@@ -193,8 +193,14 @@
 	return nil
 }
 
-// Encode returns the stored form of a table.
-func (t *Table) Encode() ([]byte, error) { return json.Marshal(t) }
+// Encode returns the stored form of a table. It fails for a table that Decode
+// would not accept.
+func (t *Table) Encode() ([]byte, error) {
+	if err := t.Validate(); err != nil {
+		return nil, errors.Annotate(err, "key table to store")
+	}
+	return json.Marshal(t)
+}
 
 // Decode reads the stored form of a table and checks it.
 func Decode(data []byte) (*Table, error) {
--- a/keyrange/table_test.go
+++ b/keyrange/table_test.go
@@ -130,3 +130,31 @@
 	allocs := testing.AllocsPerRun(10, func() { table.Overlay(changes) })
 	require.LessOrEqual(t, allocs, 3.0)
 }
+
+// Guards against neighbouring changes that leave an empty range between them,
+// which makes the stored table unreadable for the next leader.
+func TestNeighbouringChangesKeepTheTableWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := drawTable(t)
+		first := int(rapid.Uint16Range(0, 60000).Draw(t, "first"))
+		var list []Range
+		for i := range rapid.IntRange(1, 6).Draw(t, "changes") {
+			last := first + rapid.IntRange(0, 800).Draw(t, "width")
+			list = append(list, Range{First: Key(first), Last: Key(last), Owner: Owner{Server: topo.ServerID(rune('p' + i))}})
+			first = last + 1 + rapid.SampledFrom([]int{0, 0, 1, 50}).Draw(t, "gap")
+		}
+		next := table.Assign(list...)
+		require.NoError(t, next.Validate())
+		for _, r := range list {
+			have, _ := next.Find(r.Last)
+			require.Equal(t, r.Server, have.Server)
+		}
+	})
+}
+
+// Guards against a table that is not whole and is stored all the same: no later
+// leader could read it.
+func TestBrokenTableIsNotStored(t *testing.T) {
+	_, err := (&Table{NextFence: 9, Ranges: []Range{{First: 0, Last: 5}, {First: 5, Last: MaxKey}}}).Encode()
+	require.Error(t, err)
+}
