node: a new leader waits until it knows the servers

No owner was in its directory, so it released all keys; with earlier orders unanswered they waited until 37.6 s for the end of their holds.

Change: nothing is decided on keys before the servers were listed once.

Test: TestLeaderWaitsForTheServers failed first.

--- a/node/assigner.go
+++ b/node/assigner.go
@@ -227,9 +227,14 @@
 func (a *assigner) round() {
 	now := clock.Boot()
 	a.node.hub.Expire(now)
-	a.node.view.Directory(func(d *directory.Directory) { d.Expire(now) })
+	known := false
+	a.node.view.Directory(func(d *directory.Directory) {
+		d.Expire(now)
+		known = d.Rev() > 0
+	})
 	snap := a.node.view.Snapshot()
-	if snap.Routes == nil {
+	if snap.Routes == nil || !known {
+		// Without the servers, every owner would look like one that left.
 		return
 	}
 	snap.Routes.Services(func(svc *routemap.Service) {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -151,3 +151,30 @@
 func (platformObjects) SendOrder(context.Context, string, ownership.Order) (ownership.Outcome, string, error) {
 	return ownership.Done, "", nil
 }
+
+// Guards against a new leader that takes every owner for one that left because
+// it has not read the servers yet: it released all keys, which then waited for
+// the end of their holds.
+func TestLeaderWaitsForTheServers(t *testing.T) {
+	n := &Node{set: Settings{VM: "a"}, view: view.New(), log: declog.New(io.Discard, "a"), platform: platformObjects{memstore.New()}}
+	b := DefaultBounds()
+	n.inForce.Store(&b)
+	n.lease = newLeaseDuty(n.platform.Objects(), "leader/lease", leader.Identity{VM: "a"},
+		func() time.Duration { return 0 }, n.log, func() bool { return false })
+	n.loads = newLoads(n.view)
+	n.hub = fleet.NewHub(n.view, view.Member{VM: "a"}, n.lease.Leads, n.lease.Version, n.view.Confirmed, n.loads)
+	routes, err := routemap.Compile(routemap.Config{Version: 1, Services: []routemap.Service{{Name: "s", Keyed: true}}})
+	require.NoError(t, err)
+	require.True(t, n.view.SetConfig(routes, nil, 1))
+	a := newAssigner(n, n.loads)
+	a.context, a.wrote = t.Context(), map[*ownership.Machine]time.Time{}
+	owner := keyrange.Owner{Server: "i", Born: 1}
+	table := (&keyrange.Table{Service: "s", NextFence: 1}).Assign(keyrange.Range{Last: keyrange.MaxKey, Owner: owner})
+	m := ownership.New(bootNow(), table, 1, b.MaxHold, true)
+	a.machines = map[topo.ServiceName]*ownership.Machine{"s": m}
+	a.round()
+	require.Equal(t, ownership.Held, m.Holds()[0].Phase, "no servers are known yet")
+	n.view.Directory(func(d *directory.Directory) { d.Replace(nil, 7, bootNow()) })
+	a.round()
+	require.Equal(t, ownership.Vacating, m.Holds()[0].Phase, "the owner is not among the servers")
+}
