node, fleet: changes of keys reach callers sooner in a large fleet

Change: 0.2 ms for each server and 1.5 ms for each VM instead of 1 ms and 3 ms; reports every 3 ms for each VM instead of 5.

--- a/fleet/hub.go
+++ b/fleet/hub.go
@@ -18,7 +18,7 @@
 	FollowWait = 400 * time.Millisecond
 	// pacePerVM is the pause of a follower between two answers for each VM that
 	// follows, so that the leader's work does not grow with the fleet.
-	pacePerVM = 3 * time.Millisecond
+	pacePerVM = 1500 * time.Microsecond
 	// collectTime is how long a new leader hears VMs before it tells their
 	// list: a call of Follow and a retry.
 	collectTime = 700 * time.Millisecond
--- a/node/assigner.go
+++ b/node/assigner.go
@@ -39,7 +39,7 @@
 	// tablePausePerServer what each server adds: in a large service some keys
 	// are always moving. Requests for keys that wait for the write are held.
 	tablePause          = 60 * time.Millisecond
-	tablePausePerServer = time.Millisecond
+	tablePausePerServer = 200 * time.Microsecond
 	// settleTime bounds how long a stopping leader waits for its last orders.
 	settleTime = 800 * time.Millisecond
 	// ordersAtOnce bounds the orders on their way.
--- a/node/reports.go
+++ b/node/reports.go
@@ -20,7 +20,7 @@
 	// reportPerVM what each VM adds to it, so that the leader's work does not
 	// grow with the fleet.
 	reportInterval = 250 * time.Millisecond
-	reportPerVM    = 5 * time.Millisecond
+	reportPerVM    = 3 * time.Millisecond
 )
 
 // work is what a server did since the last report.
