--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -113,8 +113,12 @@
 
 func (f *Follower) apply(resp *fleetpb.FollowResponse, sent time.Time) error {
 	confirmed := sent.Add(-millis(resp.GetAgeMs()))
-	if len(resp.GetConfig()) > 0 {
-		if err := f.setConfig(resp.GetConfig(), resp.GetConfigRev()); err != nil {
+	if len(resp.GetConfigGzip()) > 0 {
+		raw, err := unpack(resp.GetConfigGzip())
+		if err != nil {
+			return err
+		}
+		if err := f.setConfig(raw, resp.GetConfigRev()); err != nil {
 			return err
 		}
 	}
--- a/fleet/hub.go
+++ b/fleet/hub.go
@@ -53,6 +53,7 @@
 	// watches.
 	answeredAt func() time.Time
 	loads      Loads
+	packer     packer
 
 	mu      sync.Mutex
 	members map[topo.VMID]*member
@@ -156,10 +157,10 @@
 }
 
 // follow waits for news and returns it.
-func (h *Hub) follow(ctx context.Context, req *fleetpb.FollowRequest) *fleetpb.FollowResponse {
+func (h *Hub) follow(ctx context.Context, req *fleetpb.FollowRequest) (*fleetpb.FollowResponse, error) {
 	term, leads := h.leads()
 	if !leads {
-		return &fleetpb.FollowResponse{}
+		return &fleetpb.FollowResponse{}, nil
 	}
 	timer := time.NewTimer(min(millis(req.GetWaitMs()), FollowWait))
 	defer timer.Stop()
@@ -214,7 +215,7 @@
 	return topo.Term(req.GetTerm()) != term || req.GetDirectoryVersion() != d.Version()
 }
 
-func (h *Hub) response(req *fleetpb.FollowRequest, term topo.Term) *fleetpb.FollowResponse {
+func (h *Hub) response(req *fleetpb.FollowRequest, term topo.Term) (*fleetpb.FollowResponse, error) {
 	now := clock.Boot()
 	out := &fleetpb.FollowResponse{
 		Leads: true, Term: uint64(term), LeaseVersion: h.leaseVersion(),
@@ -222,7 +223,11 @@
 	}
 	raw, rev := h.view.Config()
 	if out.ConfigRev = rev; rev > req.GetConfigRev() {
-		out.Config = raw
+		packed, err := h.packer.pack(raw, rev)
+		if err != nil {
+			return nil, err
+		}
+		out.ConfigGzip = packed
 	}
 	h.view.Directory(func(d *directory.Directory) { putDirectory(out, d, req, term, now) })
 	h.mu.Lock()
@@ -242,7 +247,7 @@
 		out.TableVersion = h.at.Version
 		out.Tables, out.AllRanges = h.tables.since(known)
 	}
-	return out
+	return out, nil
 }
 
 func putDirectory(out *fleetpb.FollowResponse, d *directory.Directory, req *fleetpb.FollowRequest, term topo.Term, now time.Time) {
--- /dev/null
+++ b/fleet/packed_test.go
@@ -0,0 +1,49 @@
+package fleet
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a configuration of many routes that takes a small VM's link for
+// a good part of the time in which it has to be in force everywhere.
+func TestPackedConfigurationIsSmall(t *testing.T) {
+	var b strings.Builder
+	for i := range 1500 {
+		fmt.Fprintf(&b, `{"name":"route-%d","host":"host%d.example","pathPrefix":"/p%d/","service":"orders","timeoutS":5,"attempts":2},`, i, i%40, i)
+	}
+	raw := []byte(b.String())
+	var p packer
+	data, err := p.pack(raw, 1)
+	require.NoError(t, err)
+	t.Logf("%d bytes, packed %d", len(raw), len(data))
+	require.Less(t, len(data), len(raw)/5)
+	back, err := unpack(data)
+	require.NoError(t, err)
+	require.Equal(t, raw, back)
+	again, err := p.pack(raw, 1)
+	require.NoError(t, err)
+	require.Same(t, &data[0], &again[0], "packed once for all VMs")
+	newer, err := p.pack(raw[:100], 2)
+	require.NoError(t, err)
+	back, err = unpack(newer)
+	require.NoError(t, err)
+	require.Equal(t, raw[:100], back)
+}
+
+// Guards against bytes that are no configuration, and ones that unpack without
+// end.
+func TestUnpackIsBounded(t *testing.T) {
+	_, err := unpack([]byte("x"))
+	require.Error(t, err)
+	var p packer
+	data, err := p.pack(make([]byte, maxConfig+1), 1)
+	require.NoError(t, err)
+	_, err = unpack(data)
+	require.Error(t, err)
+	_, err = unpack(data[:len(data)/2])
+	require.Error(t, err)
+}
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -38,7 +38,7 @@
 
 // Follow implements fleetpb.FleetServer.
 func (s *Server) Follow(ctx context.Context, req *fleetpb.FollowRequest) (*fleetpb.FollowResponse, error) {
-	return s.hub.follow(ctx, req), nil
+	return s.hub.follow(ctx, req)
 }
 
 // Report implements fleetpb.FleetServer.
