--- a/peer/client.go
+++ b/peer/client.go
@@ -41,7 +41,7 @@
 func ServerOptions() []grpc.ServerOption {
 	return []grpc.ServerOption{
 		grpc.InitialWindowSize(window), grpc.InitialConnWindowSize(window),
-		grpc.ReadBufferSize(bufferSize), grpc.WriteBufferSize(bufferSize), grpc.SharedWriteBuffer(true),
+		grpc.ReadBufferSize(bufferSize), grpc.WriteBufferSize(bufferSize),
 	}
 }
 
@@ -95,7 +95,6 @@
 		grpc.WithInitialConnWindowSize(window),
 		grpc.WithReadBufferSize(bufferSize),
 		grpc.WithWriteBufferSize(bufferSize),
-		grpc.WithSharedWriteBuffer(true),
 		grpc.WithDisableRetry(),
 	}
 	if p.dial != nil {
