ingress: report each request whose answer is not delivered

A connection that ended before its last answer left no line: shutdown discarded the responses of the later requests unseen, and nobody could tell a stop from a caller that had left.

Server.OnAnswerDropped is called for each request that was read and not answered, with its age, the number of unanswered requests ahead, a typed cause, the read or write error, whether the server drains, and the status of the answer if it was ready before the connection ended. A connection whose requests were all answered reports nothing. Contexts of requests end with the same cause (*ingress.ConnectionEnd).

No decision changes, except that responses which are ready are closed without waiting for those before them.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -54,7 +54,7 @@
 	limited *limitedReader
 	br      *bufio.Reader
 	ctx     context.Context
-	cancel  context.CancelFunc
+	cancel  context.CancelCauseFunc
 	// outstanding counts the requests that were read and not yet answered.
 	outstanding atomic.Int32
 	// pending holds the outstanding responses in the order of the requests.
@@ -73,9 +73,21 @@
 // pendingResponse holds the place of a response in the order of the requests.
 type pendingResponse struct {
 	response chan *Response
-	method   string
+	// request is nil when the request was refused while it was read.
+	request *Request
+	method  string
 	// last closes the connection after this response.
 	last bool
+	// late says that the response came after the context had ended.
+	late bool
+}
+
+// readyStatus returns the status of resp, 0 when it came late.
+func (p *pendingResponse) readyStatus(resp *Response) int {
+	if p.late {
+		return 0
+	}
+	return resp.Status
 }
 
 // limitedReader reads at most remaining bytes and then returns
@@ -100,7 +112,7 @@
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancelCause(context.Background())
 	limit := &limitedReader{r: nc, remaining: -1}
 	c := &conn{
 		srv: s, nc: nc, limited: limit, br: bufio.NewReaderSize(limit, bufferBytes),
@@ -122,11 +134,11 @@
 	go c.writeLoop()
 	callerGone := c.readLoop()
 	close(c.pending)
-	if callerGone {
-		c.cancel()
+	if callerGone != nil {
+		c.cancel(&ConnectionEnd{Cause: CallerDisconnected, Err: callerGone})
 	}
 	<-c.writerDone
-	c.cancel()
+	c.cancel(nil)
 	c.linger()
 }
 
@@ -140,38 +152,44 @@
 	_ = c.nc.Close()
 }
 
-// readLoop reads and starts requests until the connection ends. It reports
-// whether the caller has disconnected.
-func (c *conn) readLoop() (callerGone bool) {
+// readLoop reads and starts requests until the connection ends. It returns the
+// read error when the caller has disconnected.
+func (c *conn) readLoop() (callerGone error) {
 	for {
 		limits := c.srv.effectiveLimits()
-		if !c.awaitRequest(limits) {
-			return !c.closing.Load()
+		if more, err := c.awaitRequest(limits); !more {
+			if c.closing.Load() {
+				return nil
+			}
+			return err
 		}
 		req, refusal, err := c.readRequest(limits)
 		if refusal != nil {
 			c.enqueue(&pendingResponse{response: resolved(refusal), last: true})
-			return false
+			return nil
 		}
 		if err != nil {
-			return true
+			return err
 		}
 		if !c.startRequest(req) {
-			return req.Stream == nil && c.awaitDisconnect()
+			if req.Stream != nil {
+				return nil
+			}
+			return c.awaitDisconnect()
 		}
 	}
 }
 
 // awaitRequest waits for the first byte of the next request. It returns false
 // when the caller has disconnected, the connection is closing or the idle
-// timeout has expired.
-func (c *conn) awaitRequest(limits Limits) bool {
+// timeout has expired, with the read error if there was one.
+func (c *conn) awaitRequest(limits Limits) (more bool, err error) {
 	for {
 		if c.br.Buffered() > 0 {
-			return !c.closing.Load()
+			return !c.closing.Load(), nil
 		}
 		if c.closing.Load() {
-			return false
+			return false, nil
 		}
 		idleFrom := time.Unix(0, c.lastWrite.Load())
 		if c.outstanding.Load() > 0 {
@@ -179,33 +197,39 @@
 		}
 		_ = c.nc.SetReadDeadline(idleFrom.Add(limits.IdleTimeout))
 		if c.closing.Load() {
-			return false
+			return false, nil
 		}
 		_, err := c.br.Peek(1)
 		if err == nil {
-			return true
+			return true, nil
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) || c.closing.Load() {
-			return false
+			return false, err
 		}
 		idle := time.Since(time.Unix(0, c.lastWrite.Load()))
 		if c.outstanding.Load() == 0 && idle >= limits.IdleTimeout {
 			c.closing.Store(true)
-			return false
+			return false, nil
 		}
 	}
 }
 
 // awaitDisconnect is called after the last request of the connection was
-// started. It returns true when the caller disconnects before the response was
-// written, and false otherwise.
-func (c *conn) awaitDisconnect() bool {
+// started. It returns the read error when the caller disconnects before the
+// response was written, and nil otherwise.
+func (c *conn) awaitDisconnect() error {
 	_ = c.nc.SetReadDeadline(time.Time{})
 	if c.writeEnded.Load() {
-		return false
+		return nil
 	}
 	_, err := io.Copy(io.Discard, c.br)
-	return !errors.Is(err, os.ErrDeadlineExceeded) && !c.writeEnded.Load()
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded), c.writeEnded.Load():
+		return nil
+	case err == nil:
+		return io.EOF
+	}
+	return err
 }
 
 // readRequest reads a request and its body. A non-nil Response rejects the
@@ -344,7 +368,7 @@
 // returns only after a request with a streamed body has run, because the handler
 // reads the body from the connection.
 func (c *conn) startRequest(req *Request) bool {
-	p := &pendingResponse{response: make(chan *Response, 1), method: req.Method, last: c.closing.Load()}
+	p := &pendingResponse{response: make(chan *Response, 1), request: req, method: req.Method, last: c.closing.Load()}
 	c.outstanding.Add(1)
 	if !c.enqueue(p) {
 		return false
@@ -356,6 +380,7 @@
 			// next request.
 			p.last = true
 		}
+		p.late = c.ctx.Err() != nil
 		p.response <- resp
 	}
 	if req.Stream != nil {
@@ -371,6 +396,10 @@
 	case c.pending <- p:
 		return true
 	case <-c.writerDone:
+		var end *ConnectionEnd
+		if errors.As(context.Cause(c.ctx), &end) {
+			c.reportDropped(p, end, int(max(0, c.outstanding.Load()-1)), 0)
+		}
 		return false
 	}
 }
@@ -397,23 +426,28 @@
 		c.lastWrite.Store(time.Now().UnixNano())
 		c.outstanding.Add(-1)
 		if err != nil || last {
-			c.shutdown()
+			end, ahead := c.endOf(p, err), 0
+			if err != nil {
+				c.reportDropped(p, end, 0, p.readyStatus(resp))
+				ahead = 1
+			}
+			c.shutdown(end, ahead)
 			return
 		}
 	}
 }
 
 // shutdown stops readLoop and cancels the requests that follow the last answered
-// one. They get no response, so the caller must treat them as not read.
-func (c *conn) shutdown() {
+// one. They get no response, so the caller must treat them as not read. ahead is
+// the number of requests that were dropped already.
+func (c *conn) shutdown(end *ConnectionEnd, ahead int) {
 	c.writeEnded.Store(true)
-	c.cancel()
+	c.cancel(end)
 	c.interrupt()
 	go func() {
 		for p := range c.pending {
-			if resp := <-p.response; resp.Stream != nil {
-				_ = resp.Stream.Close()
-			}
+			c.drop(p, end, ahead)
+			ahead++
 		}
 	}()
 }
@@ -491,13 +525,13 @@
 			break
 		}
 		if err != nil {
-			return err
+			return sourceError{err}
 		}
 	}
 	if resp.Length < 0 {
 		_, _ = bw.WriteString("0\r\n\r\n")
 	} else if remaining != 0 {
-		return io.ErrUnexpectedEOF
+		return sourceError{io.ErrUnexpectedEOF}
 	}
 	return bw.Flush()
 }
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -69,8 +69,8 @@
 	OnWritten func(err error)
 }
 
-// Handler answers a request. Its context is cancelled when the caller
-// disconnects.
+// Handler answers a request. Its context is cancelled when the connection ends,
+// with a *ConnectionEnd as the cause.
 type Handler func(ctx context.Context, req *Request) *Response
 
 // Limits bounds the size of requests and the time to receive them. Zero fields
@@ -93,6 +93,10 @@
 	handler  Handler
 	limits   func() Limits
 	draining atomic.Bool
+	// OnAnswerDropped, unless nil, is called for each request that was read and
+	// whose answer was not delivered. It must not block, and must be set before
+	// Serve.
+	OnAnswerDropped func(DroppedAnswer)
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
