node: log why a request ended, where it was, and each step of a stop

A caller's context, the request's deadline, the route's timeout and a stop all ended the same context, and the log did not tell them apart. A stop that cut connections wrote their number only, and one that was killed did not show in which step.

Contexts now end with a typed cause. attempt_failed and answer_cut carry cancelled_by, answer_cut also the cause of the front end, the stage, the server and the attempt's time. The reason of a refusal tells a deadline that is too near from a cancellation, and by what. The front end records the stage of each request (a few atomic stores) and lists the outstanding requests of each connection: a stop writes connection_cut per open connection, those with requests first, and answer_dropped with cause process_ended per request. stop_step is written before each step of a stop. bytes_unread reports a connection that the VM closed with bytes, or whole requests, which it had received and not read as requests; the time that closing connections are read for is as before.

No decision changes.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -49,24 +49,24 @@
 	// The wait for an owner or a slot ends when the caller disconnects, even
 	// for a non-repeatable request, which a disconnect no longer cancels once it
 	// was sent.
-	waitCtx, stopWaiting := context.WithCancel(ctx)
-	defer stopWaiting()
-	defer context.AfterFunc(workCtx, stopWaiting)()
-	defer context.AfterFunc(f.stopCtx, stopWaiting)()
+	waitCtx, stopWaiting := context.WithCancelCause(ctx)
+	defer stopWaiting(errFinished)
+	defer context.AfterFunc(workCtx, func() { stopWaiting(context.Cause(workCtx)) })()
+	defer context.AfterFunc(f.stopCtx, func() { stopWaiting(ErrStopping) })()
 	newOwnerOnly := false
 	for {
 		server, ref := f.acquireServer(waitCtx, r, newOwnerOnly)
 		if ref != nil {
 			cancel()
 			if f.stopCtx.Err() != nil {
-				ref = &refusal{errkind.ShuttingDown, defaultRetryAfter, "VM is shutting down"}
+				ref = &refusal{errkind.ShuttingDown, defaultRetryAfter, "VM is shutting down: " + ref.reason}
 			}
 			kind := r.attempts.AdjustKind(ref.kind)
 			return f.refuse(r, kind, ref.retryAfter, ref.reason), kind != ref.kind
 		}
 		res := f.sendOnce(workCtx, r, server)
 		if res.outcome == Answered {
-			return f.deliver(r, server, res, cancel), true
+			return f.deliver(workCtx, r, server, res, cancel), true
 		}
 		action := r.attempts.NextAction(time.Now(), res.outcome, func() bool { return f.Budgets.Withdraw(r.service.Name) })
 		if r.hasBody && action != Relay {
@@ -76,11 +76,11 @@
 				action = ReportUnknown
 			}
 		}
-		f.logAttempt(r, server, res, action)
+		f.logAttempt(workCtx, r, server, res, action)
 		r.triedServers = append(r.triedServers, server.ID)
 		switch action {
 		case Relay:
-			return f.deliver(r, server, res, cancel), true
+			return f.deliver(workCtx, r, server, res, cancel), true
 		case Retry, AwaitOwner:
 			res.discard()
 			newOwnerOnly = action == AwaitOwner
@@ -110,19 +110,19 @@
 	if !r.attempts.Repeatable {
 		ctx = context.WithoutCancel(ctx)
 	}
-	workCtx, cancel := context.WithCancel(ctx)
-	timer := time.AfterFunc(time.Until(r.deadline), cancel)
-	return context.WithValue(workCtx, timerKey{}, timer), func() { timer.Stop(); cancel() }
+	workCtx, cancel := context.WithCancelCause(ctx)
+	timer := newDeadlineTimer(r.deadline, r.deadlineCause, cancel)
+	return context.WithValue(workCtx, timerKey{}, timer), func() { timer.timer.Stop(); cancel(errFinished) }
 }
 
-// timerKey is the context key of the timer that ends a work context.
+// timerKey is the context key of the deadlineTimer that ends a work context.
 type timerKey struct{}
 
 // extendDeadline moves the end of a work context to until, so that an answer
 // that has begun is delivered even after the request's deadline.
-func extendDeadline(ctx context.Context, until time.Time) {
-	if timer, ok := ctx.Value(timerKey{}).(*time.Timer); ok && timer.Stop() {
-		timer.Reset(time.Until(until))
+func extendDeadline(ctx context.Context, until time.Time, cause error) {
+	if timer, ok := ctx.Value(timerKey{}).(*deadlineTimer); ok {
+		timer.extend(until, cause)
 	}
 }
 
@@ -161,14 +161,14 @@
 // contextWhileOwner returns a context that ends when the request's key is no
 // longer owned by the server, or the server is no longer usable.
 func (f *Forwarder) contextWhileOwner(ctx context.Context, r *request, server topo.ServerID) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancelCause(ctx)
 	go func() {
 		for {
 			changed := f.View.Changed()
 			snap := f.View.Snapshot()
 			rng, ok := snap.Tables[r.service.Name].Find(r.Key)
 			if !ok || rng.Server != server || rng.State != keyrange.Owned || snap.Usable(server) == nil {
-				cancel()
+				cancel(errOwnerChanged)
 				return
 			}
 			select {
@@ -178,7 +178,7 @@
 			}
 		}
 	}()
-	return ctx, cancel
+	return ctx, func() { cancel(errFinished) }
 }
 
 // acquireSlot waits for a slot of a pool and checks that the request can still be
@@ -187,8 +187,12 @@
 func (f *Forwarder) acquireSlot(ctx context.Context, snap *view.Snapshot, r *request, pool string) (grantedServer, *refusal) {
 	now, boot := time.Now(), clock.Boot()
 	left := r.deadline.Sub(now)
-	if left <= minAttemptTime || ctx.Err() != nil {
-		return grantedServer{}, &refusal{errkind.QueueFull, defaultRetryAfter, "request was cancelled or its deadline is too near"}
+	r.Progress.SetStage(ingress.WaitingForSlot)
+	switch {
+	case ctx.Err() != nil:
+		return grantedServer{}, &refusal{errkind.QueueFull, defaultRetryAfter, cancelled(ctx, "before an attempt")}
+	case left <= minAttemptTime:
+		return grantedServer{}, &refusal{errkind.QueueFull, defaultRetryAfter, "request's deadline is too near for an attempt: " + r.deadlineCause.Error()}
 	}
 	objectiveLeft := r.route.Objective - now.Sub(r.Arrived)
 	slot, d := f.Slots.Acquire(ctx, snap, pool, permit.Request{
@@ -197,7 +201,11 @@
 		Lease: left + slotLeaseMargin,
 	})
 	if d.Verdict != permit.Granted {
-		return grantedServer{}, &refusal{errkind.QueueFull, d.RetryAfter, "no slot granted in pool " + pool}
+		reason := "no slot granted in pool " + pool
+		if ctx.Err() != nil {
+			reason += ", " + cancelled(ctx, "during the wait")
+		}
+		return grantedServer{}, &refusal{errkind.QueueFull, d.RetryAfter, reason}
 	}
 	server := f.View.Snapshot().Usable(d.Server)
 	if server == nil || server.Service != r.service.Name {
@@ -206,7 +214,7 @@
 	}
 	if ctx.Err() != nil {
 		slot.Finish(permit.Result{})
-		return grantedServer{}, &refusal{errkind.QueueFull, defaultRetryAfter, "request was cancelled during the wait for a slot"}
+		return grantedServer{}, &refusal{errkind.QueueFull, defaultRetryAfter, cancelled(ctx, "during the wait for a slot")}
 	}
 	if r.customer != nil && !f.Fresh() {
 		slot.Finish(permit.Result{})
@@ -231,6 +239,7 @@
 	if !r.HasKey {
 		return "", nil, &refusal{errkind.BadRequest, 0, "request has no key"}
 	}
+	r.Progress.SetStage(ingress.WaitingForOwner)
 	limit := min(maxOwnerWait, time.Until(r.deadline)/2)
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
@@ -263,7 +272,7 @@
 			}
 			return "", nil, &refusal{errkind.NoOwner, f.failureRetryAfter(r), "key had no usable owner within the wait limit"}
 		case <-ctx.Done():
-			return "", nil, &refusal{errkind.NoOwner, defaultRetryAfter, "request was cancelled while its key had no owner"}
+			return "", nil, &refusal{errkind.NoOwner, defaultRetryAfter, cancelled(ctx, "while its key had no owner")}
 		}
 	}
 }
@@ -296,6 +305,7 @@
 // answer is streamed; in that case the slot is freed when the answer ends.
 func (f *Forwarder) sendOnce(ctx context.Context, r *request, server grantedServer) *result {
 	start := time.Now()
+	r.Progress.SetSent((*string)(&server.ID), start)
 	resp, err := f.Egress.Do(ctx, egress.Target{ID: server.ID, Addr: server.Addr, MaxConns: r.service.MaxConns}, r.serverRequest())
 	serviceTime := time.Since(start)
 	if err != nil {
@@ -347,11 +357,12 @@
 // completely.
 func (f *Forwarder) readAnswer(ctx context.Context, r *request, server grantedServer, res *result) {
 	resp := res.resp
-	until := r.Deadline
-	if until.IsZero() {
-		until = time.Now().Add(maxStreamTime)
+	r.Progress.SetStage(ingress.AnswerBegun)
+	if r.Deadline.IsZero() {
+		extendDeadline(ctx, time.Now().Add(maxStreamTime), ErrStreamTimeout)
+	} else {
+		extendDeadline(ctx, r.Deadline, ErrCallerDeadline)
 	}
-	extendDeadline(ctx, until)
 	success := resp.Status >= 200 && resp.Status < 300
 	switch {
 	case success && !resp.Sealed:
@@ -416,7 +427,7 @@
 // deliver converts a server's answer to the answer for the caller. It calls
 // cancel, which ends the work context, at the end of a streamed answer and at
 // once for a buffered one.
-func (f *Forwarder) deliver(r *request, server grantedServer, res *result, cancel context.CancelFunc) *ingress.Response {
+func (f *Forwarder) deliver(ctx context.Context, r *request, server grantedServer, res *result, cancel context.CancelFunc) *ingress.Response {
 	resp := res.resp
 	took := time.Since(r.Arrived)
 	f.Stats.Answered(r.routeName(), "served", took)
@@ -429,14 +440,29 @@
 	ans.Stream = call.OnEnd(resp.Body, cancel)
 	ans.OnWritten = func(err error) {
 		if err != nil {
-			f.event("answer_cut", r).Str("server", string(server.ID)).Err(err).Send()
+			f.logAnswerCut(ctx, r, err)
 		}
 	}
 	return ans
 }
 
-func (f *Forwarder) logAttempt(r *request, server grantedServer, res *result, action Action) {
+// logAnswerCut logs that a streamed answer was not delivered to its end. err is
+// the reason of the front end, and ctx the work context.
+func (f *Forwarder) logAnswerCut(ctx context.Context, r *request, err error) {
+	server, took := r.Progress.Attempt()
+	e := f.event("answer_cut", r).Str("server", server).Str("stage", r.Progress.Stage().String()).
+		Dur("attempt_ms", took).Dur("took_ms", time.Since(r.Arrived)).Str("cancelled_by", endCause(ctx)).Err(err)
+	var end *ingress.ConnectionEnd
+	if errors.As(err, &end) {
+		e.Str("cause", string(end.Cause))
+	}
+	e.Send()
+}
+
+// logAttempt logs an attempt without a good answer. ctx is the work context.
+func (f *Forwarder) logAttempt(ctx context.Context, r *request, server grantedServer, res *result, action Action) {
 	f.event("attempt_failed", r).Str("server", string(server.ID)).Int("attempt", len(r.triedServers)+1).
 		Uint8("outcome", uint8(res.outcome)).Str("reason", res.reason).Uint8("action", uint8(action)).
+		Str("cancelled_by", endCause(ctx)).
 		Dur("work_ms", res.serviceTime).Dur("left_ms", time.Until(r.deadline)).Send()
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -117,10 +117,12 @@
 	customer *routemap.Customer
 	service  *routemap.Service
 	attempts Attempts
-	// deadline is the time by which the caller must have an answer.
-	deadline     time.Time
-	triedServers []topo.ServerID
-	hasBody      bool
+	// deadline is the time by which the caller must have an answer, and
+	// deadlineCause says which setting it comes from.
+	deadline      time.Time
+	deadlineCause error
+	triedServers  []topo.ServerID
+	hasBody       bool
 	// rateTokenTaken says that a token was taken from the customer's rate limit.
 	// The token is returned when the request did not run.
 	rateTokenTaken bool
@@ -195,9 +197,9 @@
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
-	r.deadline = r.Arrived.Add(timeout)
+	r.deadline, r.deadlineCause = r.Arrived.Add(timeout), ErrRouteTimeout
 	if !r.Deadline.IsZero() && r.Deadline.Before(r.deadline) {
-		r.deadline = r.Deadline
+		r.deadline, r.deadlineCause = r.Deadline, ErrCallerDeadline
 	}
 	r.hasBody = r.Stream != nil
 	r.attempts = Attempts{Repeatable: r.route.Kind.Repeatable(), Max: r.route.Attempts, Deadline: r.deadline}
@@ -228,7 +230,7 @@
 		ans.Header.Set("Request-Id", r.ID)
 	}
 	f.event("refused", r).Str("kind", row.Name).Int("status", row.Status).Str("reason", reason).
-		Dur("retry_after_ms", retryAfter).Dur("took_ms", time.Since(r.Arrived)).
+		Str("stage", r.Progress.Stage().String()).Dur("retry_after_ms", retryAfter).Dur("took_ms", time.Since(r.Arrived)).
 		Dur("config_age_ms", clock.Boot().Sub(f.View.Confirmed())).Send()
 	f.Stats.Answered(r.routeName(), row.Name, time.Since(r.Arrived))
 	return ans
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -59,6 +59,14 @@
 	outstanding atomic.Int32
 	// pending holds the outstanding responses in the order of the requests.
 	pending chan *pendingResponse
+	// list holds the requests of pending and the one that writeLoop answers.
+	list outstandingList
+	// requestsEnd is the position in the received bytes after the last request
+	// that was read.
+	requestsEnd atomic.Int64
+	// restIsBody is set by readLoop when the rest of the received bytes belongs
+	// to a refused request or to a streamed body.
+	restIsBody bool
 	// writerDone is closed when writeLoop returns.
 	writerDone chan struct{}
 	// closing is set when no further request may be read.
@@ -76,6 +84,8 @@
 	// request is nil when the request was refused while it was read.
 	request *Request
 	method  string
+	// number is the position of the request among those of the connection.
+	number uint
 	// last closes the connection after this response.
 	last bool
 	// late says that the response came after the context had ended.
@@ -95,6 +105,8 @@
 type limitedReader struct {
 	r         io.Reader
 	remaining int64
+	// total is the number of bytes that were read.
+	total atomic.Int64
 }
 
 func (l *limitedReader) Read(p []byte) (int, error) {
@@ -105,6 +117,7 @@
 		p = p[:l.remaining]
 	}
 	n, err := l.r.Read(p)
+	l.total.Add(int64(n))
 	if l.remaining > 0 {
 		l.remaining -= int64(n)
 	}
@@ -139,17 +152,23 @@
 	}
 	<-c.writerDone
 	c.cancel(nil)
-	c.linger()
+	ids := c.linger()
+	if callerGone == nil {
+		c.reportUnread(ids)
+	}
 }
 
 // linger closes the connection without a reset, which could destroy responses
-// that the caller has not read yet.
-func (c *conn) linger() {
-	if tcp, ok := c.nc.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
+// that the caller has not read yet. It returns the IDs of the requests that it
+// reads and discards, as far as their heads are complete.
+func (c *conn) linger() (ids []string) {
+	if nc, ok := c.nc.(interface{ CloseWrite() error }); ok && nc.CloseWrite() == nil {
 		_ = c.nc.SetReadDeadline(time.Now().Add(lingerTimeout))
-		_, _ = io.Copy(io.Discard, c.nc)
+		ids = c.discardRequests()
+		_, _ = io.Copy(io.Discard, c.limited)
 	}
 	_ = c.nc.Close()
+	return ids
 }
 
 // readLoop reads and starts requests until the connection ends. It returns the
@@ -165,12 +184,14 @@
 		}
 		req, refusal, err := c.readRequest(limits)
 		if refusal != nil {
+			c.restIsBody = true
 			c.enqueue(&pendingResponse{response: resolved(refusal), last: true})
 			return nil
 		}
 		if err != nil {
 			return err
 		}
+		c.requestsEnd.Store(c.limited.total.Load() - int64(c.br.Buffered()))
 		if !c.startRequest(req) {
 			if req.Stream != nil {
 				return nil
@@ -384,6 +405,7 @@
 		p.response <- resp
 	}
 	if req.Stream != nil {
+		c.restIsBody = true
 		run()
 		return false
 	}
@@ -392,6 +414,7 @@
 }
 
 func (c *conn) enqueue(p *pendingResponse) bool {
+	c.list.add(p)
 	select {
 	case c.pending <- p:
 		return true
@@ -420,13 +443,20 @@
 		}
 		last := p.last || c.srv.draining.Load()
 		err := c.writeResponse(bw, p, resp, last)
-		if resp.OnWritten != nil {
-			resp.OnWritten(err)
+		var end *ConnectionEnd
+		if err != nil || last {
+			end = c.endOf(p, err)
+		}
+		if resp.OnWritten != nil && err != nil {
+			resp.OnWritten(end)
+		} else if resp.OnWritten != nil {
+			resp.OnWritten(nil)
 		}
 		c.lastWrite.Store(time.Now().UnixNano())
 		c.outstanding.Add(-1)
-		if err != nil || last {
-			end, ahead := c.endOf(p, err), 0
+		c.list.remove()
+		if end != nil {
+			ahead := 0
 			if err != nil {
 				c.reportDropped(p, end, 0, p.readyStatus(resp))
 				ahead = 1
--- a/ingress/dropped.go
+++ b/ingress/dropped.go
@@ -109,13 +109,16 @@
 
 // reportDropped reports that the answer to p was not delivered.
 func (c *conn) reportDropped(p *pendingResponse, end *ConnectionEnd, ahead, status int) {
-	if c.srv.OnAnswerDropped == nil {
-		return
+	if c.srv.OnAnswerDropped != nil {
+		c.srv.OnAnswerDropped(c.describeDropped(p, end, ahead, status))
 	}
-	c.srv.OnAnswerDropped(DroppedAnswer{
+}
+
+func (c *conn) describeDropped(p *pendingResponse, end *ConnectionEnd, ahead, status int) DroppedAnswer {
+	return DroppedAnswer{
 		Request: p.request, Method: p.method, Caller: c.nc.RemoteAddr().String(), Ahead: ahead,
 		Cause: end.Cause, Err: end.Err, Draining: c.srv.draining.Load(), Status: status,
-	})
+	}
 }
 
 // drop reports a response as dropped and discards it, now or when it is ready.
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -50,6 +50,8 @@
 	Stream io.Reader
 	// Length is the length of Stream in bytes, -1 when unknown.
 	Length int64
+	// Progress is how far the handler has come with the request.
+	Progress Progress
 }
 
 // Response is the response to a caller's request.
@@ -65,7 +67,8 @@
 	// Abort closes the connection without a response.
 	Abort bool
 	// OnWritten, unless nil, is called once with the result of writing the
-	// response.
+	// response, a *ConnectionEnd on failure. It is not called when the connection
+	// ended before.
 	OnWritten func(err error)
 }
 
@@ -97,6 +100,10 @@
 	// whose answer was not delivered. It must not block, and must be set before
 	// Serve.
 	OnAnswerDropped func(DroppedAnswer)
+	// OnUnread, unless nil, is called for each connection that the server closed
+	// although it had received bytes which it did not read as a request. It must
+	// not block, and must be set before Serve.
+	OnUnread func(Unread)
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
--- /dev/null
+++ b/ingress/unread.go
@@ -0,0 +1,62 @@
+package ingress
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Unread describes the bytes that a closed connection had received and that were
+// not read as a request.
+type Unread struct {
+	Caller string
+	Bytes  int64
+	// RequestIDs holds the IDs of the requests that were read in order to be
+	// discarded, after the last response.
+	RequestIDs []string
+	// Cause is why the connection was closed, empty when it was idle.
+	Cause      DropCause
+	Draining   bool
+	SinceWrite time.Duration
+}
+
+// discardRequests reads and discards requests until one cannot be read, and
+// returns their IDs.
+func (c *conn) discardRequests() (ids []string) {
+	if c.restIsBody {
+		return nil
+	}
+	for len(ids) < maxPipelined {
+		c.limited.remaining = int64(defaultLimits.HeaderBytes + headerSlackBytes)
+		hr, err := http.ReadRequest(c.br)
+		c.limited.remaining = -1
+		if err != nil {
+			break
+		}
+		ids = append(ids, hr.Header.Get(c.srv.headers.RequestID))
+		if _, err := io.Copy(io.Discard, hr.Body); err != nil {
+			break
+		}
+	}
+	return ids
+}
+
+// reportUnread reports the bytes that were received and not read as a request.
+func (c *conn) reportUnread(ids []string) {
+	n := c.unreadBytes()
+	if c.srv.OnUnread == nil || c.restIsBody || n == 0 {
+		return
+	}
+	u := Unread{
+		Caller: c.nc.RemoteAddr().String(), Bytes: n, RequestIDs: ids, Draining: c.srv.draining.Load(),
+		SinceWrite: time.Since(time.Unix(0, c.lastWrite.Load())),
+	}
+	var end *ConnectionEnd
+	if errors.As(context.Cause(c.ctx), &end) {
+		u.Cause = end.Cause
+	}
+	c.srv.OnUnread(u)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -143,7 +143,7 @@
 		Budgets: forward.NewBudgets(n.bounds().RetryShare*retryShareFraction, n.retrySlack),
 	})
 	n.ingress = ingress.NewServer(n.platform.CallerHeaders(), n.forward.Serve, n.callerLimits)
-	n.ingress.OnAnswerDropped = n.recordDroppedAnswer
+	n.ingress.OnAnswerDropped, n.ingress.OnUnread = n.recordDroppedAnswer, n.recordUnread
 	n.grpc = grpc.NewServer(peer.ServerOptions()...)
 	fleetpb.RegisterFleetServer(n.grpc, fleet.NewServer(n.hub, n.broker, n.rates))
 	n.registerGauges()
--- /dev/null
+++ b/node/stop_test.go
@@ -0,0 +1,115 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
+
+	"godwitlock.example/godwitlock/declog"
+	"godwitlock.example/godwitlock/forward"
+	"godwitlock.example/godwitlock/ingress"
+	"godwitlock.example/godwitlock/leader"
+	"godwitlock.example/godwitlock/metric"
+	"godwitlock.example/godwitlock/peer"
+	"godwitlock.example/godwitlock/store/memstore"
+)
+
+// stoppableNode returns a node that answers callers with h, and its log.
+func stoppableNode(t *testing.T, h ingress.Handler) (*Node, *bytes.Buffer) {
+	t.Helper()
+	var out bytes.Buffer
+	n := &Node{settings: Settings{VM: "a"}, log: declog.New(&out, "a"), metrics: metric.New(), grpc: grpc.NewServer(), peers: peer.NewPool(nil, nil)}
+	b := DefaultBounds()
+	b.StopWithin = killMargin + 100*time.Millisecond
+	n.activeBounds.Store(&b)
+	n.forward = forward.New(forward.Config{})
+	n.lease = newLeaseManager(memstore.New(), "lease", leader.Identity{VM: "a"}, func() time.Duration { return 0 }, n.log, func() bool { return false })
+	n.ingress = ingress.NewServer(ingress.Headers{RequestID: "Request-Id"}, h, func() ingress.Limits { return ingress.Limits{} })
+	n.ingress.OnAnswerDropped, n.ingress.OnUnread = n.recordDroppedAnswer, n.recordUnread
+	for _, lis := range []*net.Listener{&n.callerLis, &n.readyLis, &n.metricsLis} {
+		var err error
+		*lis, err = net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+	}
+	go func() { _ = n.ingress.Serve(n.callerLis) }()
+	return n, &out
+}
+
+// Guards against a stop that is killed, or that cuts a request, and does not show
+// in which step it was, and which request it cut at which server.
+func TestStopLogsItsStepsAndTheRequestsItCuts(t *testing.T) {
+	started, release := make(chan struct{}), make(chan struct{})
+	defer close(release)
+	server := "s1"
+	n, out := stoppableNode(t, func(_ context.Context, r *ingress.Request) *ingress.Response {
+		r.Progress.SetSent(&server, time.Now())
+		close(started)
+		<-release
+		return &ingress.Response{Status: 200}
+	})
+	nc, err := net.Dial("tcp", n.callerLis.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = nc.Close() }()
+	_, err = io.WriteString(nc, "GET / HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n\r\n")
+	require.NoError(t, err)
+	<-started
+	n.stop(context.Background())
+
+	var steps []any
+	for _, line := range logLines(t, n.log, out, "stop_step") {
+		steps = append(steps, line["step"])
+		require.Contains(t, line, "elapsed_ms")
+	}
+	require.Subset(t, steps, []any{"resign", "await_balancer", "close_listener", "close_idle", "await_connections", "close_peers"})
+	cut := logLines(t, n.log, out, "connection_cut")
+	require.Len(t, cut, 1)
+	require.Equal(t, nc.LocalAddr().String(), cut[0]["caller"])
+	require.Equal(t, "outstanding", cut[0]["state"])
+	require.Equal(t, []any{"r1"}, cut[0]["requests"])
+	require.Equal(t, 0.0, cut[0]["unread_bytes"])
+	dropped := logLines(t, n.log, out, "answer_dropped")
+	require.Len(t, dropped, 1)
+	require.Equal(t, "r1", dropped[0]["request"])
+	require.Equal(t, "process_ended", dropped[0]["cause"])
+	require.Equal(t, "sent", dropped[0]["stage"])
+	require.Equal(t, "s1", dropped[0]["server"])
+	require.Positive(t, dropped[0]["attempt_ms"])
+	require.Equal(t, true, dropped[0]["draining"])
+}
+
+// Guards against cut connections that look alike whether they were idle or a
+// request was read on them.
+func TestCutConnectionsTellTheirState(t *testing.T) {
+	var out bytes.Buffer
+	n := &Node{log: declog.New(&out, "a"), metrics: metric.New()}
+	n.recordCutConnections([]ingress.OpenConnection{
+		{Caller: "idle"}, {Caller: "closing", Closing: true, UnreadBytes: 3}, {Caller: "reading", UnreadBytes: 5},
+		{Caller: "outstanding", Outstanding: []ingress.DroppedAnswer{{Cause: ingress.ProcessEnded}}},
+	})
+	lines := logLines(t, n.log, &out, "connection_cut")
+	require.Len(t, lines, 4)
+	require.Equal(t, "outstanding", lines[0]["state"], "connections with requests come first")
+	for _, line := range lines {
+		require.Equal(t, line["caller"], line["state"])
+	}
+	require.Equal(t, 5.0, lines[3]["unread_bytes"])
+}
+
+// Guards against an unread request that leaves no line with its ID.
+func TestUnreadBytesAreLogged(t *testing.T) {
+	var out bytes.Buffer
+	n := &Node{log: declog.New(&out, "a"), metrics: metric.New()}
+	n.recordUnread(ingress.Unread{Caller: "c:1", Bytes: 9, RequestIDs: []string{"r2"}, Cause: ingress.ClosedByStop, Draining: true})
+	lines := logLines(t, n.log, &out, "bytes_unread")
+	require.Len(t, lines, 1)
+	require.Equal(t, []any{"r2"}, lines[0]["requests"])
+	require.Equal(t, 9.0, lines[0]["bytes"])
+	require.Equal(t, "closed_by_stop", lines[0]["cause"])
+	require.Equal(t, true, lines[0]["draining"])
+}
