--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -17,6 +17,7 @@
 	"golang.org/x/net/http/httpguts"
 
 	"godwitlock.example/godwitlock/call"
+	"godwitlock.example/godwitlock/internal/readlimit"
 )
 
 const (
@@ -43,15 +44,12 @@
 	bufferBytes = 4 << 10
 )
 
-// errHeaderTooLarge is the read error of a header section beyond its limit.
-var errHeaderTooLarge = errors.New("header section too large")
-
 // conn is a caller's connection. readLoop starts the requests; writeLoop writes
 // the responses in the order of the requests.
 type conn struct {
 	srv     *Server
 	nc      net.Conn
-	limited *limitedReader
+	limited *readlimit.Reader
 	br      *bufio.Reader
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -78,30 +76,9 @@
 	last bool
 }
 
-// limitedReader reads at most remaining bytes and then returns
-// errHeaderTooLarge. A negative value of remaining means no limit.
-type limitedReader struct {
-	r         io.Reader
-	remaining int64
-}
-
-func (l *limitedReader) Read(p []byte) (int, error) {
-	if l.remaining == 0 {
-		return 0, errHeaderTooLarge
-	}
-	if l.remaining > 0 && int64(len(p)) > l.remaining {
-		p = p[:l.remaining]
-	}
-	n, err := l.r.Read(p)
-	if l.remaining > 0 {
-		l.remaining -= int64(n)
-	}
-	return n, err
-}
-
 func newConn(s *Server, nc net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
-	limit := &limitedReader{r: nc, remaining: -1}
+	limit := readlimit.New(nc)
 	c := &conn{
 		srv: s, nc: nc, limited: limit, br: bufio.NewReaderSize(limit, bufferBytes),
 		ctx: ctx, cancel: cancel,
@@ -213,9 +190,9 @@
 // means that the caller has disconnected.
 func (c *conn) readRequest(limits Limits) (*Request, *Response, error) {
 	_ = c.nc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	c.limited.remaining = int64(limits.HeaderBytes + headerSlackBytes)
+	c.limited.SetLimit(int64(limits.HeaderBytes + headerSlackBytes))
 	hr, err := http.ReadRequest(c.br)
-	c.limited.remaining = -1
+	c.limited.Unlimit()
 	if err != nil {
 		return nil, parseErrorResponse(err), err
 	}
@@ -239,7 +216,7 @@
 func parseErrorResponse(err error) *Response {
 	var netErr net.Error
 	switch {
-	case errors.Is(err, errHeaderTooLarge):
+	case errors.Is(err, readlimit.ErrExceeded):
 		return statusResponse(http.StatusRequestHeaderFieldsTooLarge)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return statusResponse(http.StatusRequestTimeout)
