egress: bound the head of a server's response

A server that sent a head without end (a status line, a header value, header lines or informational responses) was read until the request's deadline, and the head was kept in memory. On a VM of 184 MB, one such server could end the process. Callers saw a 504 at their deadline, and a repeatable request was not sent to another server.

Cause: http.ReadResponse reads from a reader without a limit, and informational responses were skipped without a bound.

Evidence: TestEndlessHeadIsCutOff failed in all four cases: the client accepted all 8 MiB that the server offered before it gave up.

Change: a head, together with the informational responses before it, ends with an error after 64 KiB. The connection is closed; the outcome of the attempt is unknown, so a repeatable request goes to another server at once.

--- a/egress/conn.go
+++ b/egress/conn.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sys/unix"
 
 	"godwitlock.example/godwitlock/call"
+	"godwitlock.example/godwitlock/internal/readlimit"
 	"godwitlock.example/godwitlock/topo"
 )
 
@@ -25,6 +26,9 @@
 	// bufferBytes is the size of a connection's read buffer. A body up to this
 	// size is written together with the head.
 	bufferBytes = 4 << 10
+	// maxHeadBytes bounds the head of a response together with the
+	// informational responses before it.
+	maxHeadBytes = 64 << 10
 	// maxStaleResponses bounds the late responses to earlier requests that are
 	// skipped before the response to the current one.
 	maxStaleResponses = 3
@@ -42,6 +46,7 @@
 	client    *Client
 	server    topo.ServerID
 	nc        net.Conn
+	limited   *readlimit.Reader
 	br        *bufio.Reader
 	idleUntil time.Time
 	// writeStarted is set when at least one byte of the current request may
@@ -53,7 +58,8 @@
 }
 
 func newConn(c *Client, id topo.ServerID, nc net.Conn) *conn {
-	return &conn{client: c, server: id, nc: nc, br: bufio.NewReaderSize(nc, bufferBytes)}
+	limited := readlimit.New(nc)
+	return &conn{client: c, server: id, nc: nc, limited: limited, br: bufio.NewReaderSize(limited, bufferBytes)}
 }
 
 func (cn *conn) close() {
@@ -226,19 +232,13 @@
 }
 
 // readHead reads response heads until the one that carries the ID of req. It
-// skips informational responses and late responses to earlier requests.
+// skips late responses to earlier requests.
 func (cn *conn) readHead(h *Headers, req *Request) (*http.Response, error) {
-	for skipped := 0; skipped <= maxStaleResponses; {
-		resp, err := http.ReadResponse(cn.br, &http.Request{Method: req.Method})
+	for skipped := 0; skipped <= maxStaleResponses; skipped++ {
+		resp, err := cn.readFinalHead(req)
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
-			if resp.StatusCode == http.StatusSwitchingProtocols {
-				return nil, errors.New("unexpected response 101 Switching Protocols")
-			}
-			continue
-		}
 		got := resp.Header[h.RequestID]
 		if len(got) == 1 && got[0] == req.ID {
 			return resp, nil
@@ -258,12 +258,31 @@
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, err
 		}
-		skipped++
 		cn.reusable = false
 	}
 	return nil, errUnmatchedResponse
 }
 
+// readFinalHead reads response heads until one that is not informational. It
+// fails after maxHeadBytes.
+func (cn *conn) readFinalHead(req *Request) (*http.Response, error) {
+	cn.limited.SetLimit(maxHeadBytes)
+	defer cn.limited.Unlimit()
+	for {
+		resp, err := http.ReadResponse(cn.br, &http.Request{Method: req.Method})
+		switch {
+		case errors.Is(err, readlimit.ErrExceeded):
+			return nil, errors.Annotatef(err, "response has no complete head within %d bytes", maxHeadBytes)
+		case err != nil:
+			return nil, err
+		case resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errors.New("unexpected response 101 Switching Protocols")
+		case resp.StatusCode < 100 || resp.StatusCode >= 200:
+			return resp, nil
+		}
+	}
+}
+
 // notRun reports whether the server states that it did not run the request.
 func (cn *conn) notRun(h *Headers, resp *http.Response) bool {
 	return resp.StatusCode == http.StatusMisdirectedRequest || resp.Header.Get(h.NotRun) != ""
--- /dev/null
+++ b/egress/endless_test.go
@@ -0,0 +1,97 @@
+package egress
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+)
+
+// endlessServer writes start and then repeat again and again, until its
+// connection is closed. It gives up after maxEndlessBytes.
+type endlessServer struct {
+	start, repeat string
+	// accepted is the number of bytes that were read from the server, and
+	// closed says that its connection was closed by the other side. Both are
+	// valid once done is closed.
+	accepted int
+	closed   bool
+	done     chan struct{}
+}
+
+// maxEndlessBytes is far beyond every limit of package egress.
+const maxEndlessBytes = 8 << 20
+
+// client returns a client with one connection, to the server, and the target to
+// use it for. The connection reads from the server without a buffer in between.
+func (s *endlessServer) client(t *testing.T) (*Client, Target) {
+	t.Helper()
+	s.done = make(chan struct{})
+	nc, peer := net.Pipe()
+	go s.serve(peer)
+	c := New(testHeaders)
+	cn := newConn(c, "s1", nc)
+	cn.idleUntil = time.Now().Add(time.Hour)
+	c.open["s1"], c.idle["s1"] = 1, []*conn{cn}
+	t.Cleanup(func() { _ = peer.Close() })
+	return c, Target{ID: "s1"}
+}
+
+func (s *endlessServer) serve(nc net.Conn) {
+	defer close(s.done)
+	if _, ok := readRequest(bufio.NewReader(nc)); !ok {
+		return
+	}
+	n, err := io.WriteString(nc, s.start)
+	s.accepted = n
+	for err == nil && s.accepted < maxEndlessBytes && s.repeat != "" {
+		n, err = io.WriteString(nc, s.repeat)
+		s.accepted += n
+	}
+	if err == nil && s.repeat == "" {
+		_, err = nc.Read(make([]byte, 1))
+	}
+	s.closed = err != nil
+	_ = nc.Close()
+}
+
+// requireCutOff checks that the server's connection was closed after at most max
+// bytes, at once and not at the end of a timeout, and that it is not used again.
+func (s *endlessServer) requireCutOff(t *testing.T, c *Client, start time.Time, maxBytes int) {
+	t.Helper()
+	require.Zero(t, time.Since(start), "time until the failure")
+	<-s.done
+	require.LessOrEqual(t, s.accepted, maxBytes, "bytes accepted from the server")
+	require.True(t, s.closed, "connection of the server is closed")
+	require.Empty(t, c.idle["s1"])
+	require.Empty(t, c.open)
+}
+
+// Guards against reading a head that never ends until the memory is used up.
+func TestEndlessHeadIsCutOff(t *testing.T) {
+	kilobyte := strings.Repeat("x", 1<<10)
+	for name, s := range map[string]*endlessServer{
+		"status line":             {start: "HTTP/1.1 200 ", repeat: kilobyte},
+		"header value":            {start: "HTTP/1.1 200 OK\r\nX: ", repeat: kilobyte},
+		"header section":          {start: "HTTP/1.1 200 OK\r\n", repeat: "X: " + kilobyte + "\r\n"},
+		"informational responses": {repeat: "HTTP/1.1 102 Processing\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, target := s.client(t)
+				start := time.Now()
+				_, err := c.Do(t.Context(), target, newGetRequest("a"))
+				var f *Failure
+				require.True(t, errors.As(err, &f))
+				require.True(t, f.MayHaveRun)
+				s.requireCutOff(t, c, start, maxHeadBytes)
+			})
+		})
+	}
+}
