egress: reject bytes that are no response at the first wrong byte

A server that sent bytes which are no response, and no line end, held its request until the deadline: callers saw a 504, and a repeatable request was not sent to another server in the time that was left. A status below 100 was passed on to the caller, where it is no valid status line.

Cause: http.ReadResponse reads a whole line before it looks at it, and accepts any number as status and any version.

Evidence: TestBytesThatAreNoResponseEndTheAttemptAtOnce failed: "junk" and "other protocol" ended only with the context, after 1 s; "line without end" was read for 64 KiB. ("status below 100" was added with the change; in a scratch copy the old client returned a response with status 99.)

Change: the first 12 bytes are compared with the form of a status line as they come. The first byte that differs ends the attempt, whose outcome is unknown.

--- a/egress/conn.go
+++ b/egress/conn.go
@@ -269,6 +269,9 @@
 	cn.limited.SetLimit(maxHeadBytes)
 	defer cn.limited.Unlimit()
 	for {
+		if err := cn.checkStatusLine(); err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(cn.br, &http.Request{Method: req.Method})
 		switch {
 		case errors.Is(err, readlimit.ErrExceeded):
@@ -277,12 +280,41 @@
 			return nil, err
 		case resp.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errors.New("unexpected response 101 Switching Protocols")
-		case resp.StatusCode < 100 || resp.StatusCode >= 200:
+		case resp.StatusCode >= 200:
 			return resp, nil
 		}
 	}
 }
 
+// statusLineStart is the form of the start of a status line. A d stands for any
+// digit and an s for the first digit of the status, which is not 0.
+const statusLineStart = "HTTP/1.d sdd"
+
+// checkStatusLine waits for the start of a status line. It fails at the first
+// byte that does not belong there, without waiting for the end of the line.
+func (cn *conn) checkStatusLine() error {
+	for i := range len(statusLineStart) {
+		b, err := cn.br.Peek(i + 1)
+		if err != nil {
+			return err
+		}
+		if !matchesForm(b[i], statusLineStart[i]) {
+			return errors.Errorf("response starts with %q, expected a status line of HTTP/1.x", b)
+		}
+	}
+	return nil
+}
+
+func matchesForm(b, form byte) bool {
+	switch form {
+	case 'd':
+		return b >= '0' && b <= '9'
+	case 's':
+		return b >= '1' && b <= '9'
+	}
+	return b == form
+}
+
 // notRun reports whether the server states that it did not run the request.
 func (cn *conn) notRun(h *Headers, resp *http.Response) bool {
 	return resp.StatusCode == http.StatusMisdirectedRequest || resp.Header.Get(h.NotRun) != ""
--- a/egress/endless_test.go
+++ b/egress/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"strings"
@@ -95,3 +96,28 @@
 		})
 	}
 }
+
+// Guards against waiting until the deadline for the end of a line that cannot be
+// a status line.
+func TestBytesThatAreNoResponseEndTheAttemptAtOnce(t *testing.T) {
+	for name, s := range map[string]*endlessServer{
+		"junk":             {start: "\x00"},
+		"line without end": {start: "HTTP/1.", repeat: "x"},
+		"other protocol":   {start: "HTTP/2.0 200"},
+		"status below 100": {start: "HTTP/1.1 099"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, target := s.client(t)
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				start := time.Now()
+				_, err := c.Do(ctx, target, newGetRequest("a"))
+				var f *Failure
+				require.True(t, errors.As(err, &f))
+				require.True(t, f.MayHaveRun)
+				s.requireCutOff(t, c, start, len("HTTP/1.1 200"))
+			})
+		})
+	}
+}
