egress: bound the body of a late response that is skipped

A server that sent a late response without end, ahead of the response to the current request, was read until the request's deadline. Callers saw a 504, and a repeatable request was not sent to another server.

Cause: the body of a late response was skipped without a bound.

Change: more than 1 MiB ends the attempt, whose outcome is unknown, and closes the connection.

--- a/egress/conn.go
+++ b/egress/conn.go
@@ -32,6 +32,8 @@
 	// maxStaleResponses bounds the late responses to earlier requests that are
 	// skipped before the response to the current one.
 	maxStaleResponses = 3
+	// maxStaleBodyBytes bounds the body of a late response that is skipped.
+	maxStaleBodyBytes = 1 << 20
 	// maxRefusalBodyBytes bounds how much of the body of a refusal is read so
 	// that the connection can be reused.
 	maxRefusalBodyBytes = 4 << 10
@@ -255,7 +257,7 @@
 			return nil, errUnmatchedResponse
 		}
 		// This is a late second response to an earlier request.
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if err := skipBody(resp.Body); err != nil {
 			return nil, err
 		}
 		cn.reusable = false
@@ -263,6 +265,15 @@
 	return nil, errUnmatchedResponse
 }
 
+// skipBody reads a body to its end. It fails after maxStaleBodyBytes.
+func skipBody(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxStaleBodyBytes+1))
+	if err == nil && n > maxStaleBodyBytes {
+		return errors.Errorf("body of a late response is longer than %d bytes", maxStaleBodyBytes)
+	}
+	return err
+}
+
 // readFinalHead reads response heads until one that is not informational. It
 // fails after maxHeadBytes.
 func (cn *conn) readFinalHead(req *Request) (*http.Response, error) {
--- a/egress/endless_test.go
+++ b/egress/endless_test.go
@@ -121,3 +121,25 @@
 		})
 	}
 }
+
+// Guards against skipping a late response that never ends.
+func TestEndlessLateResponseIsCutOff(t *testing.T) {
+	kilobyte := strings.Repeat("x", 1<<10)
+	late := "HTTP/1.1 200 OK\r\nRequest-Id: old\r\nSeal: x\r\n"
+	for name, s := range map[string]*endlessServer{
+		"by length": {start: late + "Content-Length: 99999999\r\n\r\n", repeat: kilobyte},
+		"in chunks": {start: late + "Transfer-Encoding: chunked\r\n\r\n", repeat: "400\r\n" + kilobyte + "\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, target := s.client(t)
+				start := time.Now()
+				_, err := c.Do(t.Context(), target, newGetRequest("a"))
+				var f *Failure
+				require.True(t, errors.As(err, &f))
+				require.True(t, f.MayHaveRun)
+				s.requireCutOff(t, c, start, maxStaleBodyBytes+maxStaleBodyBytes/16)
+			})
+		})
+	}
+}
