egress: do not wait for the body of a refusal

A server that refused a request ("not run") and never ended the body of that refusal held the request until its deadline. Callers got a refusal only then, although another server could have taken the request at once.

Cause: up to 4 KiB of the body are read so that the connection can be reused, for as long as the request has time.

Evidence: TestRefusalDoesNotWaitForItsBody/silent failed: the refusal came with the end of the context, after 1 s. The cases "long" and "without a length" passed before; with the bound of 4 KiB removed they fail (all 8 MiB accepted).

Change: the body may take 50 ms. A later one costs the connection, which is closed.

--- a/egress/conn.go
+++ b/egress/conn.go
@@ -37,6 +37,9 @@
 	// maxRefusalBodyBytes bounds how much of the body of a refusal is read so
 	// that the connection can be reused.
 	maxRefusalBodyBytes = 4 << 10
+	// refusalBodyTimeout bounds the wait for that body. A later one costs the
+	// connection, not time that another attempt could use.
+	refusalBodyTimeout = 50 * time.Millisecond
 )
 
 // errUnmatchedResponse reports a response that cannot be attributed to the
@@ -355,14 +358,20 @@
 	b := &responseBody{cn: cn, r: resp.Body, stop: stop, complete: resp.ContentLength == 0}
 	out.Body = b
 	if out.NotRun {
-		// The body of a refusal is small and not passed on, so it is read here
-		// to keep the connection reusable.
-		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxRefusalBodyBytes))
-		b.complete = err == nil && n < maxRefusalBodyBytes
+		b.complete = cn.skipRefusalBody(resp.Body)
 	}
 	return out
 }
 
+// skipRefusalBody reads the body of a refusal, which is small and not passed on,
+// to keep the connection reusable. It reports whether the body is complete.
+func (cn *conn) skipRefusalBody(body io.Reader) bool {
+	_ = cn.nc.SetReadDeadline(time.Now().Add(refusalBodyTimeout))
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxRefusalBodyBytes))
+	_ = cn.nc.SetReadDeadline(time.Time{})
+	return err == nil && n < maxRefusalBodyBytes
+}
+
 // keepAliveTimeout returns how long a connection may stay idle, given the
 // Keep-Alive field of a response.
 func keepAliveTimeout(keepAlive string) time.Duration {
--- a/egress/endless_test.go
+++ b/egress/endless_test.go
@@ -143,3 +143,30 @@
 		})
 	}
 }
+
+// Guards against a refusal that holds its request until the deadline because its
+// body never ends.
+func TestRefusalDoesNotWaitForItsBody(t *testing.T) {
+	refusal := "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: a\r\nNot-Run: 1\r\n"
+	for name, s := range map[string]*endlessServer{
+		"silent":           {start: refusal + "Content-Length: 9\r\n\r\nbusy"},
+		"long":             {start: refusal + "Content-Length: 99999999\r\n\r\n", repeat: strings.Repeat("x", 1<<10)},
+		"without a length": {start: refusal + "\r\n", repeat: "busy"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, target := s.client(t)
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				start := time.Now()
+				resp, err := c.Do(ctx, target, newGetRequest("a"))
+				require.NoError(t, err)
+				require.True(t, resp.NotRun)
+				require.NoError(t, ctx.Err())
+				require.NoError(t, resp.Body.Close())
+				require.LessOrEqual(t, time.Since(start), refusalBodyTimeout)
+				s.requireCutOff(t, c, time.Now(), 2*maxRefusalBodyBytes)
+			})
+		})
+	}
+}
