egress: guard the bounds on bodies that never end

No fault found: bodies without end, chunk extensions and trailers without end and bytes behind a complete response end with a closed connection that is not used again, and the request's context bounds the first.

Tried on a scratch copy, the tests fail when a bound is removed: - read buffer of 1 MiB: chunk size, chunk extension, trailer and trailers accept 1 MiB each. (The case "chunk extensions", many short ones, is bounded by net/http alone.) - context not tied to the connection: TestEndlessBodyEndsWithItsRequest, all cases. - bytes left in the buffer, or a body that was not read to its end, not checked before reuse: TestBytesBehindAResponseCloseTheConnection and TestEndlessFramingOfABodyIsCutOff end in a deadlock, since the connection stays open.

--- a/egress/endless_test.go
+++ b/egress/endless_test.go
@@ -170,3 +170,74 @@
 		})
 	}
 }
+
+// Guards against chunk extensions or trailers that are read and kept without end
+// behind a good head.
+func TestEndlessFramingOfABodyIsCutOff(t *testing.T) {
+	kilobyte := strings.Repeat("x", 1<<10)
+	chunked := okResponse("a", "Transfer-Encoding: chunked\r\n", "4\r\nbody\r\n")
+	for name, s := range map[string]*endlessServer{
+		"chunk size":       {start: chunked, repeat: "0"},
+		"chunk extension":  {start: chunked + "1;", repeat: kilobyte},
+		"chunk extensions": {start: chunked, repeat: "1;" + kilobyte + "\r\nx\r\n"},
+		"trailer":          {start: chunked + "0\r\nX: ", repeat: kilobyte},
+		"trailers":         {start: chunked + "0\r\n", repeat: "X: " + kilobyte + "\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, target := s.client(t)
+				start := time.Now()
+				resp, err := c.Do(t.Context(), target, newGetRequest("a"))
+				require.NoError(t, err)
+				_, err = io.Copy(io.Discard, resp.Body)
+				require.Error(t, err)
+				require.NoError(t, resp.Body.Close())
+				s.requireCutOff(t, c, start, 32<<10)
+			})
+		})
+	}
+}
+
+// Guards against a connection that stays open, or is used again, when its
+// response has no end.
+func TestEndlessBodyEndsWithItsRequest(t *testing.T) {
+	kilobyte := strings.Repeat("x", 1<<10)
+	for name, s := range map[string]*endlessServer{
+		"by length":        {start: okResponse("a", "Content-Length: 99999999\r\n", ""), repeat: kilobyte},
+		"in chunks":        {start: okResponse("a", "Transfer-Encoding: chunked\r\n", ""), repeat: "400\r\n" + kilobyte + "\r\n"},
+		"without a length": {start: okResponse("a", "", ""), repeat: kilobyte},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, target := s.client(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				start := time.Now()
+				resp, err := c.Do(ctx, target, newGetRequest("a"))
+				require.NoError(t, err)
+				_, err = io.CopyN(io.Discard, resp.Body, 64<<10)
+				require.NoError(t, err)
+				cancel()
+				synctest.Wait()
+				_, err = io.Copy(io.Discard, resp.Body)
+				require.Error(t, err)
+				require.NoError(t, resp.Body.Close())
+				s.requireCutOff(t, c, start, 128<<10)
+			})
+		})
+	}
+}
+
+// Guards against taking bytes without end behind a complete response for the
+// response to the next request.
+func TestBytesBehindAResponseCloseTheConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &endlessServer{start: okResponse("a", "Content-Length: 2\r\n", "ok") + "x", repeat: strings.Repeat("x", 1<<10)}
+		c, target := s.client(t)
+		start := time.Now()
+		resp, err := c.Do(t.Context(), target, newGetRequest("a"))
+		require.NoError(t, err)
+		require.Equal(t, "ok", readAll(t, resp))
+		require.NoError(t, resp.Body.Close())
+		s.requireCutOff(t, c, start, bufferBytes)
+	})
+}
