forward: count an answer that breaks off on its way as a failure

A server whose long answers break off or turn into junk stayed in use like a healthy one: its pool got the time until the head as the service time of a served request, and the VM's measurements counted it as completed. Callers got one cut answer after the other from it.

Cause: the slot of a streamed answer was freed with the same result at its end and at an error.

Evidence: TestBrokenStreamIsAFailureOfItsServer failed in all three cases with Result{ServiceTime: ...} instead of Result{Failed: true}.

Change: a read error is a failure of the server, unless the request has ended (deadline, or a caller that left); then nothing is recorded. TestCallerThatLeavesAStreamIsNoFailureOfItsServer guards that.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -368,25 +368,21 @@
 		return
 	}
 	if resp.Length > maxBufferedAnswerBytes {
-		resp.Body = call.OnEnd(resp.Body, func() { f.finishSlot(server, res.serviceTime) })
+		f.stream(ctx, server, res, resp.Body)
 		return
 	}
-	f.bufferAnswer(server, res)
+	f.bufferAnswer(ctx, server, res)
 }
 
 // bufferAnswer reads the body of an answer that is short or of unknown length.
 // An answer of maxBufferedAnswerBytes or more is streamed instead.
-func (f *Forwarder) bufferAnswer(server grantedServer, res *result) {
+func (f *Forwarder) bufferAnswer(ctx context.Context, server grantedServer, res *result) {
 	resp := res.resp
 	var buf bytes.Buffer
 	n, err := io.Copy(&buf, io.LimitReader(resp.Body, maxBufferedAnswerBytes))
 	if err == nil && n == maxBufferedAnswerBytes {
 		// The answer fills the buffer: the rest is streamed.
-		rest := resp.Body
-		resp.Body = call.OnEnd(struct {
-			io.Reader
-			io.Closer
-		}{io.MultiReader(&buf, rest), rest}, func() { f.finishSlot(server, res.serviceTime) })
+		f.stream(ctx, server, res, io.MultiReader(&buf, resp.Body))
 		return
 	}
 	_ = resp.Body.Close()
--- /dev/null
+++ b/forward/endless_test.go
@@ -0,0 +1,131 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitlock.example/godwitlock/directory"
+	"godwitlock.example/godwitlock/permit"
+	"godwitlock.example/godwitlock/topo"
+	"godwitlock.example/godwitlock/view"
+)
+
+// recordingSlots grants every slot at once and sends the result with which it is
+// freed to results.
+type recordingSlots struct{ results chan permit.Result }
+
+type recordingSlot struct{ results chan permit.Result }
+
+func (s recordingSlot) Finish(r permit.Result) { s.results <- r }
+
+func (s *recordingSlots) Acquire(context.Context, *view.Snapshot, string, permit.Request) (Slot, permit.Decision) {
+	return recordingSlot{s.results}, permit.Decision{Verdict: permit.Granted, Server: "s1"}
+}
+
+// faultyForwarder is a Forwarder whose server handles each connection with a
+// function of the test, for one request.
+type faultyForwarder struct {
+	*testForwarder
+	results chan permit.Result
+	// requests is the number of requests that reached the server.
+	requests atomic.Int32
+	// closed receives a value for each connection of the server that ended.
+	closed chan struct{}
+}
+
+// newFaultyForwarder returns a faultyForwarder. The function answer writes the
+// answer to the request with the given number, counted from 1; after it returns,
+// the server reads until its connection is closed, unless answer closed it.
+func newFaultyForwarder(t *testing.T, answer func(nc net.Conn, n int32)) *faultyForwarder {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = lis.Close() })
+	ff := &faultyForwarder{
+		testForwarder: newTestForwarder(t, okResponse),
+		results:       make(chan permit.Result, 16), closed: make(chan struct{}, 16),
+	}
+	ff.Slots = &recordingSlots{ff.results}
+	ff.view.Directory(func(d *directory.Directory) {
+		d.Put(directory.Server{ID: topo.ServerID("s1"), Service: "s", Addr: lis.Addr().String(), Slots: 1, State: directory.Ready, Rev: 2})
+	})
+	go func() {
+		for {
+			nc, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				br := bufio.NewReader(nc)
+				if _, err := http.ReadRequest(br); err == nil {
+					answer(nc, ff.requests.Add(1))
+				}
+				_, _ = io.Copy(io.Discard, br)
+				_ = nc.Close()
+				ff.closed <- struct{}{}
+			}()
+		}
+	}()
+	return ff
+}
+
+// writeForever writes start, and then repeat until the connection is closed.
+func writeForever(nc net.Conn, start, repeat string) {
+	_, err := io.WriteString(nc, start)
+	for err == nil {
+		_, err = io.WriteString(nc, repeat)
+	}
+}
+
+// Guards against counting an answer that breaks off on its way to the caller as
+// served, which keeps its server in use.
+func TestBrokenStreamIsAFailureOfItsServer(t *testing.T) {
+	long := strings.Repeat("x", 2*maxBufferedAnswerBytes)
+	head := "HTTP/1.1 200 OK\r\nRequest-Id: x\r\nSeal: s\r\n"
+	for name, text := range map[string]string{
+		"by length": head + "Content-Length: 100000\r\n\r\n" + long,
+		"in chunks": head + "Transfer-Encoding: chunked\r\n\r\n8000\r\n" + long + "\r\n",
+		"junk":      head + "Transfer-Encoding: chunked\r\n\r\n8000\r\n" + long + "\r\njunk\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			ff := newFaultyForwarder(t, func(nc net.Conn, _ int32) {
+				_, _ = io.WriteString(nc, text)
+				_ = nc.(*net.TCPConn).CloseWrite()
+			})
+			ans := ff.Serve(context.Background(), newRequest("/w/1"))
+			require.NotNil(t, ans.Stream)
+			_, err := io.Copy(io.Discard, ans.Stream)
+			require.Error(t, err)
+			require.NoError(t, ans.Stream.Close())
+			require.Equal(t, permit.Result{Failed: true}, <-ff.results)
+			<-ff.closed
+		})
+	}
+}
+
+// Guards against blaming a server for a caller that leaves in the middle of its
+// answer.
+func TestCallerThatLeavesAStreamIsNoFailureOfItsServer(t *testing.T) {
+	ff := newFaultyForwarder(t, func(nc net.Conn, _ int32) {
+		writeForever(nc, "HTTP/1.1 200 OK\r\nRequest-Id: x\r\nSeal: s\r\n\r\n", strings.Repeat("x", 1<<10))
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ans := ff.Serve(ctx, newRequest("/r/1"))
+	require.NotNil(t, ans.Stream)
+	_, err := io.CopyN(io.Discard, ans.Stream, 2*maxBufferedAnswerBytes)
+	require.NoError(t, err)
+	cancel()
+	_, err = io.Copy(io.Discard, ans.Stream)
+	require.Error(t, err)
+	require.NoError(t, ans.Stream.Close())
+	require.False(t, (<-ff.results).Failed)
+	<-ff.closed
+}
