forward: bound a short answer by the route's timeout

A server that sent the head of a short answer and then nothing more, or a byte now and then, held its request until the caller's own deadline (20 s without one), beyond the route's timeout. Callers got no answer in their time.

Change: the end moves to the caller's deadline when the answer begins to be passed on. Until then it is 0.15 s after the request's deadline; the caller gets 504 deadline_after_run then. That also holds for short answers that would have been complete between that time and the caller's deadline: they were delivered late before.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -29,6 +29,9 @@
 	// maxStreamTime bounds the delivery of an answer to a caller that set no
 	// deadline.
 	maxStreamTime = 20 * time.Second
+	// bufferGrace is how long after the request's deadline an answer may be read
+	// that is not passed on before it is complete.
+	bufferGrace = 150 * time.Millisecond
 	// slotLeaseMargin is how much longer than its deadline a request may keep
 	// its slot before the home VM frees the slot.
 	slotLeaseMargin = 300 * time.Millisecond
@@ -347,11 +350,6 @@
 // completely.
 func (f *Forwarder) readAnswer(ctx context.Context, r *request, server grantedServer, res *result) {
 	resp := res.resp
-	until := r.Deadline
-	if until.IsZero() {
-		until = time.Now().Add(maxStreamTime)
-	}
-	extendDeadline(ctx, until)
 	success := resp.Status >= 200 && resp.Status < 300
 	switch {
 	case success && !resp.Sealed:
@@ -368,21 +366,26 @@
 		return
 	}
 	if resp.Length > maxBufferedAnswerBytes {
-		f.stream(ctx, server, res, resp.Body)
+		f.stream(ctx, r, server, res, resp.Body)
 		return
 	}
-	f.bufferAnswer(ctx, server, res)
+	f.bufferAnswer(ctx, r, server, res)
 }
 
 // bufferAnswer reads the body of an answer that is short or of unknown length.
 // An answer of maxBufferedAnswerBytes or more is streamed instead.
-func (f *Forwarder) bufferAnswer(ctx context.Context, server grantedServer, res *result) {
+func (f *Forwarder) bufferAnswer(ctx context.Context, r *request, server grantedServer, res *result) {
 	resp := res.resp
+	until := r.deadline.Add(bufferGrace)
+	if end := r.streamEnd(); end.Before(until) {
+		until = end
+	}
+	extendDeadline(ctx, until)
 	var buf bytes.Buffer
 	n, err := io.Copy(&buf, io.LimitReader(resp.Body, maxBufferedAnswerBytes))
 	if err == nil && n == maxBufferedAnswerBytes {
 		// The answer fills the buffer: the rest is streamed.
-		f.stream(ctx, server, res, io.MultiReader(&buf, resp.Body))
+		f.stream(ctx, r, server, res, io.MultiReader(&buf, resp.Body))
 		return
 	}
 	_ = resp.Body.Close()
--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -129,3 +130,25 @@
 	require.False(t, (<-ff.results).Failed)
 	<-ff.closed
 }
+
+// Guards against holding a request past its route's timeout while a short answer
+// arrives slowly or not at all.
+func TestShortAnswerThatDoesNotEndIsGivenUpAtTheTimeout(t *testing.T) {
+	for _, path := range []string{"/w/1", "/r/1"} {
+		t.Run(path, func(t *testing.T) {
+			ff := newFaultyForwarder(t, func(nc net.Conn, _ int32) {
+				_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nRequest-Id: x\r\nSeal: s\r\nContent-Length: 9\r\n\r\nhalf")
+			})
+			in := newRequest(path)
+			in.Deadline = in.Arrived.Add(10 * time.Second)
+			ans := ff.Serve(context.Background(), in)
+			require.True(t, time.Now().Before(in.Deadline), "answered before the caller's deadline")
+			require.Equal(t, http.StatusGatewayTimeout, ans.Status)
+			require.Equal(t, "deadline_after_run\n", string(ans.Body))
+			require.Empty(t, ans.Header.Get("Retry-After"))
+			require.Equal(t, permit.Result{Failed: true}, <-ff.results)
+			require.Equal(t, int32(1), ff.requests.Load())
+			<-ff.closed
+		})
+	}
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"time"
 
 	"godwitlock.example/godwitlock/permit"
 )
@@ -34,11 +35,21 @@
 	return err
 }
 
-// stream makes res an answer whose body is read from r as it is passed on. The
-// slot is freed when the body ends. A body that breaks off counts as a failure of
-// the server, unless the request had ended before.
-func (f *Forwarder) stream(ctx context.Context, server grantedServer, res *result, r io.Reader) {
-	res.resp.Body = &streamedBody{Reader: r, source: res.resp.Body, onEnd: func(err error) {
+// streamEnd returns the time by which an answer that is passed on while it
+// arrives must be complete.
+func (r *request) streamEnd() time.Time {
+	if r.Deadline.IsZero() {
+		return time.Now().Add(maxStreamTime)
+	}
+	return r.Deadline
+}
+
+// stream makes res an answer whose body is passed on as it arrives. The slot is
+// freed when the body ends. A body that breaks off counts as a failure of the
+// server, unless the request had ended before.
+func (f *Forwarder) stream(ctx context.Context, r *request, server grantedServer, res *result, body io.Reader) {
+	extendDeadline(ctx, r.streamEnd())
+	res.resp.Body = &streamedBody{Reader: body, source: res.resp.Body, onEnd: func(err error) {
 		if err == nil || err == io.EOF {
 			f.finishSlot(server, res.serviceTime)
 			return
