forward: do not wait for the body of a failure that may be repeated

A server that answered a repeatable request with a status of 500 or above, and never ended the body, held the request until its deadline. Callers got a 504, although another server could have answered in the time that was left.

Cause: the body of a failure is read whole before the next attempt, to keep the connection reusable and to pass the failure on if there is no further attempt.

Change: the body may take 100 ms if the request may be repeated; later, the answer counts as lost and the request is sent again. The read deadline of the connection is set by Response.LimitBodyTime, which refusals use, too. It is removed before the connection is reused; with that line removed, TestConnectionIsReusedAfterARefusal fails (tried on a scratch copy).

--- a/egress/conn.go
+++ b/egress/conn.go
@@ -356,22 +356,13 @@
 	cn.idleUntil = time.Now().Add(keepAliveTimeout(resp.Header.Get("Keep-Alive")))
 	call.StripHopByHop(out.Header)
 	b := &responseBody{cn: cn, r: resp.Body, stop: stop, complete: resp.ContentLength == 0}
-	out.Body = b
+	out.Body, out.body = b, b
 	if out.NotRun {
-		b.complete = cn.skipRefusalBody(resp.Body)
+		b.skipRefusal()
 	}
 	return out
 }
 
-// skipRefusalBody reads the body of a refusal, which is small and not passed on,
-// to keep the connection reusable. It reports whether the body is complete.
-func (cn *conn) skipRefusalBody(body io.Reader) bool {
-	_ = cn.nc.SetReadDeadline(time.Now().Add(refusalBodyTimeout))
-	n, err := io.Copy(io.Discard, io.LimitReader(body, maxRefusalBodyBytes))
-	_ = cn.nc.SetReadDeadline(time.Time{})
-	return err == nil && n < maxRefusalBodyBytes
-}
-
 // keepAliveTimeout returns how long a connection may stay idle, given the
 // Keep-Alive field of a response.
 func keepAliveTimeout(keepAlive string) time.Duration {
@@ -393,6 +384,21 @@
 	stop     func() bool
 	complete bool
 	finished bool
+	// timeLimited is set when the connection has a read deadline.
+	timeLimited bool
+}
+
+func (b *responseBody) limitTime(d time.Duration) {
+	b.timeLimited = true
+	_ = b.cn.nc.SetReadDeadline(time.Now().Add(d))
+}
+
+// skipRefusal reads the body of a refusal, which is small and not passed on, to
+// keep the connection reusable.
+func (b *responseBody) skipRefusal() {
+	b.limitTime(refusalBodyTimeout)
+	n, err := io.Copy(io.Discard, io.LimitReader(b.r, maxRefusalBodyBytes))
+	b.complete = err == nil && n < maxRefusalBodyBytes
 }
 
 // Read implements io.Reader. An error other than io.EOF means that the body is
@@ -424,6 +430,9 @@
 		b.cn.reusable = false
 	}
 	if b.complete && b.cn.reusable && b.cn.br.Buffered() == 0 {
+		if b.timeLimited {
+			_ = b.cn.nc.SetReadDeadline(time.Time{})
+		}
 		b.cn.client.putIdle(b.cn)
 		return
 	}
--- a/egress/egress.go
+++ b/egress/egress.go
@@ -90,8 +90,14 @@
 	// Load is valid when HasLoad is set.
 	Load    Load
 	HasLoad bool
+
+	body *responseBody
 }
 
+// LimitBodyTime makes reads of the body fail after d. It must not be called
+// during a read.
+func (r *Response) LimitBodyTime(d time.Duration) { r.body.limitTime(d) }
+
 // Failure is the error of an exchange that ended without a response.
 type Failure struct {
 	// MayHaveRun is false only when no byte of the request was written.
--- a/egress/endless_test.go
+++ b/egress/endless_test.go
@@ -241,3 +241,34 @@
 		s.requireCutOff(t, c, start, bufferBytes)
 	})
 }
+
+// Guards against a time limit on the body of a refusal that stays in force for
+// the next response on the connection.
+func TestConnectionIsReusedAfterARefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nc, peer := net.Pipe()
+		served := make(chan struct{})
+		go func() {
+			defer close(served)
+			br := bufio.NewReader(peer)
+			readRequest(br)
+			_, _ = io.WriteString(peer, "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: a\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nbusy")
+			readRequest(br)
+			time.Sleep(2 * refusalBodyTimeout)
+			_, _ = io.WriteString(peer, okResponse("b", "Content-Length: 2\r\n", "ok"))
+		}()
+		c := New(testHeaders)
+		cn := newConn(c, "s1", nc)
+		cn.idleUntil = time.Now().Add(time.Hour)
+		c.open["s1"], c.idle["s1"] = 1, []*conn{cn}
+		resp, err := c.Do(t.Context(), Target{ID: "s1"}, newGetRequest("a"))
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Len(t, c.idle["s1"], 1)
+		resp, err = c.Do(t.Context(), Target{ID: "s1"}, newGetRequest("b"))
+		require.NoError(t, err)
+		require.Equal(t, "ok", readAll(t, resp))
+		<-served
+		require.NoError(t, nc.Close())
+	})
+}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -32,6 +32,9 @@
 	// bufferGrace is how long after the request's deadline an answer may be read
 	// that is not passed on before it is complete.
 	bufferGrace = 150 * time.Millisecond
+	// failureBodyTimeout bounds the wait for the body of a failure when the
+	// request may be sent again instead.
+	failureBodyTimeout = 100 * time.Millisecond
 	// slotLeaseMargin is how much longer than its deadline a request may keep
 	// its slot before the home VM frees the slot.
 	slotLeaseMargin = 300 * time.Millisecond
@@ -381,6 +384,9 @@
 		until = end
 	}
 	extendDeadline(ctx, until)
+	if res.outcome == Failed && r.attempts.Repeatable {
+		resp.LimitBodyTime(failureBodyTimeout)
+	}
 	var buf bytes.Buffer
 	n, err := io.Copy(&buf, io.LimitReader(resp.Body, maxBufferedAnswerBytes))
 	if err == nil && n == maxBufferedAnswerBytes {
--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -152,3 +152,20 @@
 		})
 	}
 }
+
+// Guards against holding a repeatable request until its deadline for the body of
+// a failure.
+func TestFailureDoesNotWaitForItsBody(t *testing.T) {
+	ff := newFaultyForwarder(t, func(nc net.Conn, n int32) {
+		if n > 1 {
+			_, _ = io.WriteString(nc, okResponse("x"))
+			return
+		}
+		_, _ = io.WriteString(nc, "HTTP/1.1 500 Internal Server Error\r\nRequest-Id: x\r\nSeal: s\r\nContent-Length: 9\r\n\r\nhalf")
+	})
+	in := newRequest("/r/1")
+	ans := ff.Serve(context.Background(), in)
+	require.Equal(t, 200, ans.Status)
+	require.Equal(t, permit.Result{Failed: true}, <-ff.results)
+	require.False(t, (<-ff.results).Failed)
+}
