forward: guard what callers get for bytes without end

No further fault: whatever a server sends without end in place of an answer, the caller of a request that is not repeatable gets 502 outcome_unknown without Retry-After, a repeatable request goes on to another attempt at once, the slot is freed as failed and the connection is closed.

--- a/egress/endless_test.go
+++ b/egress/endless_test.go
@@ -127,7 +127,7 @@
 	kilobyte := strings.Repeat("x", 1<<10)
 	late := "HTTP/1.1 200 OK\r\nRequest-Id: old\r\nSeal: x\r\n"
 	for name, s := range map[string]*endlessServer{
-		"by length": {start: late + "Content-Length: 99999999\r\n\r\n", repeat: kilobyte},
+		"by length": {start: late + "Content-Length: 99999999999999\r\n\r\n", repeat: kilobyte},
 		"in chunks": {start: late + "Transfer-Encoding: chunked\r\n\r\n", repeat: "400\r\n" + kilobyte + "\r\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -150,7 +150,7 @@
 	refusal := "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: a\r\nNot-Run: 1\r\n"
 	for name, s := range map[string]*endlessServer{
 		"silent":           {start: refusal + "Content-Length: 9\r\n\r\nbusy"},
-		"long":             {start: refusal + "Content-Length: 99999999\r\n\r\n", repeat: strings.Repeat("x", 1<<10)},
+		"long":             {start: refusal + "Content-Length: 99999999999999\r\n\r\n", repeat: strings.Repeat("x", 1<<10)},
 		"without a length": {start: refusal + "\r\n", repeat: "busy"},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -203,7 +203,7 @@
 func TestEndlessBodyEndsWithItsRequest(t *testing.T) {
 	kilobyte := strings.Repeat("x", 1<<10)
 	for name, s := range map[string]*endlessServer{
-		"by length":        {start: okResponse("a", "Content-Length: 99999999\r\n", ""), repeat: kilobyte},
+		"by length":        {start: okResponse("a", "Content-Length: 99999999999999\r\n", ""), repeat: kilobyte},
 		"in chunks":        {start: okResponse("a", "Transfer-Encoding: chunked\r\n", ""), repeat: "400\r\n" + kilobyte + "\r\n"},
 		"without a length": {start: okResponse("a", "", ""), repeat: kilobyte},
 	} {
--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -169,3 +169,46 @@
 	require.Equal(t, permit.Result{Failed: true}, <-ff.results)
 	require.False(t, (<-ff.results).Failed)
 }
+
+// Guards against an answer "not run", or a wait until the deadline, when a server
+// answers with bytes without end: a repeatable request goes on to another
+// attempt at once, and the outcome of any other is unknown.
+func TestEndlessBytesOfAServer(t *testing.T) {
+	kilobyte := strings.Repeat("x", 1<<10)
+	head := "HTTP/1.1 200 OK\r\nRequest-Id: x\r\nSeal: s\r\n"
+	for name, c := range map[string]struct{ start, repeat string }{
+		"junk":                    {"\x00\x01", kilobyte},
+		"status line":             {"HTTP/1.1 200 ", kilobyte},
+		"header section":          {"HTTP/1.1 200 OK\r\n", "X: " + kilobyte + "\r\n"},
+		"informational":           {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+		"late response":           {"HTTP/1.1 200 OK\r\nRequest-Id: old\r\nSeal: s\r\nContent-Length: 99999999999999\r\n\r\n", kilobyte},
+		"unmatched response":      {"HTTP/1.1 200 OK\r\nSeal: s\r\n\r\n", kilobyte},
+		"unsealed response":       {"HTTP/1.1 200 OK\r\nRequest-Id: x\r\n\r\n", kilobyte},
+		"junk in place of chunks": {head + "Transfer-Encoding: chunked\r\n\r\n", kilobyte},
+	} {
+		t.Run(name, func(t *testing.T) {
+			answer := func(nc net.Conn, n int32) {
+				if n > 1 {
+					_, _ = io.WriteString(nc, okResponse("x"))
+					return
+				}
+				writeForever(nc, c.start, c.repeat)
+			}
+			ff := newFaultyForwarder(t, answer)
+			ans := ff.Serve(context.Background(), newRequest("/w/1"))
+			require.Equal(t, http.StatusBadGateway, ans.Status)
+			require.Equal(t, "outcome_unknown\n", string(ans.Body))
+			require.Empty(t, ans.Header.Get("Retry-After"))
+			require.Equal(t, permit.Result{Failed: true}, <-ff.results)
+			require.Equal(t, int32(1), ff.requests.Load())
+			<-ff.closed
+
+			ff = newFaultyForwarder(t, answer)
+			ans = ff.Serve(context.Background(), newRequest("/r/1"))
+			require.Equal(t, http.StatusOK, ans.Status)
+			require.Equal(t, permit.Result{Failed: true}, <-ff.results)
+			require.Equal(t, int32(2), ff.requests.Load())
+			<-ff.closed
+		})
+	}
+}
