--- a/backend/client.go
+++ b/backend/client.go
@@ -12,6 +12,7 @@
 	"godwitlock.example/godwitlock/call"
 	"godwitlock.example/godwitlock/errkind"
 	"godwitlock.example/godwitlock/execution"
+	"godwitlock.example/godwitlock/internal/readlimit"
 	"godwitlock.example/godwitlock/topo"
 )
 
@@ -23,8 +24,7 @@
 	// idleTimeout closes idle connections before servers usually do (after 60 s
 	// or more). If a server closes a connection first, a request that is being
 	// sent on it ends with an unknown outcome.
-	idleTimeout            = 30 * time.Second
-	maxResponseHeaderBytes = 64 << 10
+	idleTimeout = 30 * time.Second
 	// maxRefusalBodyBytes limits how much of the body of a Not-Run response is
 	// read in order to reuse its connection.
 	maxRefusalBodyBytes = 4 << 10
@@ -81,7 +81,7 @@
 		MaxIdleConns:           limit,
 		MaxIdleConnsPerHost:    limit,
 		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		MaxResponseHeaderBytes: readlimit.ResponseHeadBytes,
 		ReadBufferSize:         ioBufferBytes,
 		WriteBufferSize:        ioBufferBytes,
 		DisableCompression:     true,
--- a/egress/conn.go
+++ b/egress/conn.go
@@ -26,9 +26,6 @@
 	// bufferBytes is the size of a connection's read buffer. A body up to this
 	// size is written together with the head.
 	bufferBytes = 4 << 10
-	// maxHeadBytes bounds the head of a response together with the
-	// informational responses before it.
-	maxHeadBytes = 64 << 10
 	// maxStaleResponses bounds the late responses to earlier requests that are
 	// skipped before the response to the current one.
 	maxStaleResponses = 3
@@ -278,9 +275,9 @@
 }
 
 // readFinalHead reads response heads until one that is not informational. It
-// fails after maxHeadBytes.
+// fails after readlimit.ResponseHeadBytes.
 func (cn *conn) readFinalHead(req *Request) (*http.Response, error) {
-	cn.limited.SetLimit(maxHeadBytes)
+	cn.limited.SetLimit(readlimit.ResponseHeadBytes)
 	defer cn.limited.Unlimit()
 	for {
 		if err := cn.checkStatusLine(); err != nil {
@@ -289,7 +286,7 @@
 		resp, err := http.ReadResponse(cn.br, &http.Request{Method: req.Method})
 		switch {
 		case errors.Is(err, readlimit.ErrExceeded):
-			return nil, errors.Annotatef(err, "response has no complete head within %d bytes", maxHeadBytes)
+			return nil, errors.Annotatef(err, "response has no complete head within %d bytes", readlimit.ResponseHeadBytes)
 		case err != nil:
 			return nil, err
 		case resp.StatusCode == http.StatusSwitchingProtocols:
--- a/egress/endless_test.go
+++ b/egress/endless_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
+
+	"godwitlock.example/godwitlock/internal/readlimit"
 )
 
 // endlessServer writes start and then repeat again and again, until its
@@ -91,7 +93,7 @@
 				var f *Failure
 				require.True(t, errors.As(err, &f))
 				require.True(t, f.MayHaveRun)
-				s.requireCutOff(t, c, start, maxHeadBytes)
+				s.requireCutOff(t, c, start, readlimit.ResponseHeadBytes)
 			})
 		})
 	}
--- a/internal/readlimit/readlimit.go
+++ b/internal/readlimit/readlimit.go
@@ -8,6 +8,10 @@
 	"github.com/juju/errors"
 )
 
+// ResponseHeadBytes bounds the head of a response from a backend server or the
+// store, together with the informational responses before it.
+const ResponseHeadBytes = 64 << 10
+
 // ErrExceeded is returned by a read beyond the limit.
 var ErrExceeded = errors.New("more bytes received than the limit allows")
 
