--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -212,3 +212,29 @@
 		})
 	}
 }
+
+// endlessBody is the body of a caller that never stops sending.
+type endlessBody struct{}
+
+func (endlessBody) Read(p []byte) (int, error) { return len(p), nil }
+
+// Guards against sending the body of a caller without end, after the answer or
+// after the deadline of its request.
+func TestEndlessBodyOfACallerEndsWithItsRequest(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer string
+		status int
+	}{
+		"answered":   {okResponse("x"), http.StatusOK},
+		"unanswered": {"", http.StatusGatewayTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ff := newFaultyForwarder(t, func(nc net.Conn, _ int32) { _, _ = io.WriteString(nc, c.answer) })
+			in := newRequest("/w/1")
+			in.Stream, in.Length = endlessBody{}, -1
+			require.Equal(t, c.status, ff.Serve(context.Background(), in).Status)
+			<-ff.closed
+			<-ff.results
+		})
+	}
+}
