node: bound requests to the ready and metrics addresses

A connection to the ready or metrics address whose request never ended stayed open for good, with a goroutine and a file descriptor; a head could take 1 MiB.

Cause: http.Serve sets no timeouts and the default limit of the head.

Evidence: TestEndlessProbeIsCutOff/slow_header_section failed: the connection was still open after two minutes (fake time). The run ended there; the other two cases ran only with the change.

--- a/node/node.go
+++ b/node/node.go
@@ -325,8 +325,10 @@
 		{"sweep", n.runSweep},
 		{"peers", func(context.Context) error { return n.noRestartOnStop(n.grpc.Serve(n.peerLis)) }},
 		{"callers", func(context.Context) error { return n.noRestartOnStop(n.ingress.Serve(n.callerLis)) }},
-		{"ready", func(context.Context) error { return n.noRestartOnStop(http.Serve(n.readyLis, n.readyMux())) }},
-		{"metrics", func(context.Context) error { return n.noRestartOnStop(http.Serve(n.metricsLis, n.metricsMux())) }},
+		{"ready", func(context.Context) error { return n.noRestartOnStop(newProbeServer(n.readyMux()).Serve(n.readyLis)) }},
+		{"metrics", func(context.Context) error {
+			return n.noRestartOnStop(newProbeServer(n.metricsMux()).Serve(n.metricsLis))
+		}},
 	}
 	for _, w := range n.watchers {
 		list = append(list, task{"watch " + w.name, w.Run})
