peer: bound the header lists of calls between VMs

A VM that sent a header list without end to another one was read for 16 MiB per connection.

Cause: gRPC's default for the size of a header list.

Evidence: TestEndlessHeaderListIsCutOff failed: 14,660,546 bytes were accepted.

Change: 64 KiB for the servers and the clients of package peer. Messages have gRPC's bound of 4 MiB, which holds already; History has its own. The gRPC server of package daemon does not use peer.ServerOptions and is unchanged.

--- a/peer/client.go
+++ b/peer/client.go
@@ -36,6 +36,9 @@
 	// fixed window turns off gRPC's bandwidth estimation, which sends a ping with
 	// every call.
 	windowBytes = 256 << 10
+	// maxHeaderListBytes bounds the metadata of a call or a response. The calls
+	// carry none of their own; callers' headers are part of the messages.
+	maxHeaderListBytes = 64 << 10
 )
 
 // ServerOptions returns the options of a gRPC server that other VMs call. They
@@ -44,6 +47,7 @@
 	return []grpc.ServerOption{
 		grpc.InitialWindowSize(windowBytes), grpc.InitialConnWindowSize(windowBytes),
 		grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes),
+		grpc.MaxHeaderListSize(maxHeaderListBytes),
 	}
 }
 
@@ -97,6 +101,7 @@
 		grpc.WithInitialConnWindowSize(windowBytes),
 		grpc.WithReadBufferSize(bufferBytes),
 		grpc.WithWriteBufferSize(bufferBytes),
+		grpc.WithMaxHeaderListSize(maxHeaderListBytes),
 		grpc.WithDisableRetry(),
 	}
 	if p.dial != nil {
