store: bound responses by what a VM can hold

The client of the object API accepted responses of 256 MiB with heads of 10 MiB, more than a VM of 184 MB can hold. A store that sent either without end could end the process.

Change: 32 MiB, and 64 KiB for the head (readlimit.ResponseHeadBytes). Daemon and NewClient share NewTransport.

--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -14,6 +14,7 @@
 	"godwitlock.example/godwitlock/control"
 	"godwitlock.example/godwitlock/peer"
 	"godwitlock.example/godwitlock/router"
+	"godwitlock.example/godwitlock/store"
 	"godwitlock.example/godwitlock/topo"
 )
 
@@ -118,5 +119,7 @@
 	if dial == nil {
 		return nil
 	}
-	return &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}
+	transport := store.NewTransport()
+	transport.DialContext = dial
+	return &http.Client{Transport: transport}
 }
--- a/store/client.go
+++ b/store/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/juju/errors"
 
+	"godwitlock.example/godwitlock/internal/readlimit"
 	"godwitlock.example/godwitlock/topo"
 )
 
@@ -27,7 +28,7 @@
 
 // maxResponseBytes is the largest response that the client accepts. Lists and
 // watches have the largest responses.
-const maxResponseBytes = 256 << 20
+const maxResponseBytes = 32 << 20
 
 // WireObject is the JSON form of an object or event in responses to list and
 // watch calls.
@@ -64,13 +65,20 @@
 	http *http.Client
 }
 
+// NewTransport returns the transport of a client of the object API.
+func NewTransport() *http.Transport {
+	return &http.Transport{
+		MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: readlimit.ResponseHeadBytes,
+	}
+}
+
 // NewClient returns a client of the object API at baseURL, for example
 // "http://127.0.0.1:7000". Deadlines come from the context of each call. If hc
 // has a Timeout, it must exceed the longest wait of Watch. If hc is nil, the
 // client uses a transport of its own.
 func NewClient(baseURL string, hc *http.Client) *Client {
 	if hc == nil {
-		hc = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}
+		hc = &http.Client{Transport: NewTransport()}
 	}
 	return &Client{base: strings.TrimRight(baseURL, "/"), http: hc}
 }
