--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -29,6 +29,12 @@
 	// maxStreamTime bounds the delivery of an answer to a caller that set no
 	// deadline.
 	maxStreamTime = 20 * time.Second
+	// bufferGrace is how long after the request's deadline an answer may be read
+	// that is not passed on before it is complete.
+	bufferGrace = 150 * time.Millisecond
+	// failureBodyTimeout bounds the wait for the body of a failure when the
+	// request may be sent again instead.
+	failureBodyTimeout = 100 * time.Millisecond
 	// slotLeaseMargin is how much longer than its deadline a request may keep
 	// its slot before the home VM frees the slot.
 	slotLeaseMargin = 300 * time.Millisecond
@@ -358,11 +364,6 @@
 func (f *Forwarder) readAnswer(ctx context.Context, r *request, server grantedServer, res *result) {
 	resp := res.resp
 	r.Progress.SetStage(ingress.AnswerBegun)
-	if r.Deadline.IsZero() {
-		extendDeadline(ctx, time.Now().Add(maxStreamTime), ErrStreamTimeout)
-	} else {
-		extendDeadline(ctx, r.Deadline, ErrCallerDeadline)
-	}
 	success := resp.Status >= 200 && resp.Status < 300
 	switch {
 	case success && !resp.Sealed:
@@ -379,25 +380,29 @@
 		return
 	}
 	if resp.Length > maxBufferedAnswerBytes {
-		resp.Body = call.OnEnd(resp.Body, func() { f.finishSlot(server, res.serviceTime) })
+		f.stream(ctx, r, server, res, resp.Body)
 		return
 	}
-	f.bufferAnswer(server, res)
+	f.bufferAnswer(ctx, r, server, res)
 }
 
 // bufferAnswer reads the body of an answer that is short or of unknown length.
 // An answer of maxBufferedAnswerBytes or more is streamed instead.
-func (f *Forwarder) bufferAnswer(server grantedServer, res *result) {
+func (f *Forwarder) bufferAnswer(ctx context.Context, r *request, server grantedServer, res *result) {
 	resp := res.resp
+	until, cause := r.deadline.Add(bufferGrace), r.deadlineCause
+	if end, endCause := r.streamEnd(); end.Before(until) {
+		until, cause = end, endCause
+	}
+	extendDeadline(ctx, until, cause)
+	if res.outcome == Failed && r.attempts.Repeatable {
+		resp.LimitBodyTime(failureBodyTimeout)
+	}
 	var buf bytes.Buffer
 	n, err := io.Copy(&buf, io.LimitReader(resp.Body, maxBufferedAnswerBytes))
 	if err == nil && n == maxBufferedAnswerBytes {
 		// The answer fills the buffer: the rest is streamed.
-		rest := resp.Body
-		resp.Body = call.OnEnd(struct {
-			io.Reader
-			io.Closer
-		}{io.MultiReader(&buf, rest), rest}, func() { f.finishSlot(server, res.serviceTime) })
+		f.stream(ctx, r, server, res, io.MultiReader(&buf, resp.Body))
 		return
 	}
 	_ = resp.Body.Close()
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -17,6 +17,7 @@
 	"golang.org/x/net/http/httpguts"
 
 	"godwitlock.example/godwitlock/call"
+	"godwitlock.example/godwitlock/internal/readlimit"
 )
 
 const (
@@ -43,15 +44,12 @@
 	bufferBytes = 4 << 10
 )
 
-// errHeaderTooLarge is the read error of a header section beyond its limit.
-var errHeaderTooLarge = errors.New("header section too large")
-
 // conn is a caller's connection. readLoop starts the requests; writeLoop writes
 // the responses in the order of the requests.
 type conn struct {
 	srv     *Server
 	nc      net.Conn
-	limited *limitedReader
+	limited *readlimit.Reader
 	br      *bufio.Reader
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
@@ -100,33 +98,9 @@
 	return resp.Status
 }
 
-// limitedReader reads at most remaining bytes and then returns
-// errHeaderTooLarge. A negative value of remaining means no limit.
-type limitedReader struct {
-	r         io.Reader
-	remaining int64
-	// total is the number of bytes that were read.
-	total atomic.Int64
-}
-
-func (l *limitedReader) Read(p []byte) (int, error) {
-	if l.remaining == 0 {
-		return 0, errHeaderTooLarge
-	}
-	if l.remaining > 0 && int64(len(p)) > l.remaining {
-		p = p[:l.remaining]
-	}
-	n, err := l.r.Read(p)
-	l.total.Add(int64(n))
-	if l.remaining > 0 {
-		l.remaining -= int64(n)
-	}
-	return n, err
-}
-
 func newConn(s *Server, nc net.Conn) *conn {
 	ctx, cancel := context.WithCancelCause(context.Background())
-	limit := &limitedReader{r: nc, remaining: -1}
+	limit := readlimit.New(nc)
 	c := &conn{
 		srv: s, nc: nc, limited: limit, br: bufio.NewReaderSize(limit, bufferBytes),
 		ctx: ctx, cancel: cancel,
@@ -191,7 +165,7 @@
 		if err != nil {
 			return err
 		}
-		c.requestsEnd.Store(c.limited.total.Load() - int64(c.br.Buffered()))
+		c.requestsEnd.Store(c.limited.Total() - int64(c.br.Buffered()))
 		if !c.startRequest(req) {
 			if req.Stream != nil {
 				return nil
@@ -258,9 +232,9 @@
 // means that the caller has disconnected.
 func (c *conn) readRequest(limits Limits) (*Request, *Response, error) {
 	_ = c.nc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	c.limited.remaining = int64(limits.HeaderBytes + headerSlackBytes)
+	c.limited.SetLimit(int64(limits.HeaderBytes + headerSlackBytes))
 	hr, err := http.ReadRequest(c.br)
-	c.limited.remaining = -1
+	c.limited.Unlimit()
 	if err != nil {
 		return nil, parseErrorResponse(err), err
 	}
@@ -284,7 +258,7 @@
 func parseErrorResponse(err error) *Response {
 	var netErr net.Error
 	switch {
-	case errors.Is(err, errHeaderTooLarge):
+	case errors.Is(err, readlimit.ErrExceeded):
 		return statusResponse(http.StatusRequestHeaderFieldsTooLarge)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return statusResponse(http.StatusRequestTimeout)
--- a/ingress/open.go
+++ b/ingress/open.go
@@ -80,4 +80,4 @@
 
 // unreadBytes returns the number of bytes that were received and are not part of
 // a request that was read.
-func (c *conn) unreadBytes() int64 { return c.limited.total.Load() - c.requestsEnd.Load() }
+func (c *conn) unreadBytes() int64 { return c.limited.Total() - c.requestsEnd.Load() }
--- a/ingress/unread.go
+++ b/ingress/unread.go
@@ -30,9 +30,9 @@
 		return nil
 	}
 	for len(ids) < maxPipelined {
-		c.limited.remaining = int64(defaultLimits.HeaderBytes + headerSlackBytes)
+		c.limited.SetLimit(int64(defaultLimits.HeaderBytes + headerSlackBytes))
 		hr, err := http.ReadRequest(c.br)
-		c.limited.remaining = -1
+		c.limited.Unlimit()
 		if err != nil {
 			break
 		}
