--- a/egress/conn.go
+++ b/egress/conn.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sys/unix"
 
 	"godwitlock.example/godwitlock/call"
+	"godwitlock.example/godwitlock/internal/readlimit"
 	"godwitlock.example/godwitlock/topo"
 )
 
@@ -28,9 +29,14 @@
 	// maxStaleResponses bounds the late responses to earlier requests that are
 	// skipped before the response to the current one.
 	maxStaleResponses = 3
+	// maxStaleBodyBytes bounds the body of a late response that is skipped.
+	maxStaleBodyBytes = 1 << 20
 	// maxRefusalBodyBytes bounds how much of the body of a refusal is read so
 	// that the connection can be reused.
 	maxRefusalBodyBytes = 4 << 10
+	// refusalBodyTimeout bounds the wait for that body. A later one costs the
+	// connection, not time that another attempt could use.
+	refusalBodyTimeout = 50 * time.Millisecond
 )
 
 // errUnmatchedResponse reports a response that cannot be attributed to the
@@ -42,6 +48,7 @@
 	client    *Client
 	server    topo.ServerID
 	nc        net.Conn
+	limited   *readlimit.Reader
 	br        *bufio.Reader
 	idleUntil time.Time
 	// writeStarted is set when at least one byte of the current request may
@@ -53,7 +60,8 @@
 }
 
 func newConn(c *Client, id topo.ServerID, nc net.Conn) *conn {
-	return &conn{client: c, server: id, nc: nc, br: bufio.NewReaderSize(nc, bufferBytes)}
+	limited := readlimit.New(nc)
+	return &conn{client: c, server: id, nc: nc, limited: limited, br: bufio.NewReaderSize(limited, bufferBytes)}
 }
 
 func (cn *conn) close() {
@@ -226,19 +234,13 @@
 }
 
 // readHead reads response heads until the one that carries the ID of req. It
-// skips informational responses and late responses to earlier requests.
+// skips late responses to earlier requests.
 func (cn *conn) readHead(h *Headers, req *Request) (*http.Response, error) {
-	for skipped := 0; skipped <= maxStaleResponses; {
-		resp, err := http.ReadResponse(cn.br, &http.Request{Method: req.Method})
+	for skipped := 0; skipped <= maxStaleResponses; skipped++ {
+		resp, err := cn.readFinalHead(req)
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
-			if resp.StatusCode == http.StatusSwitchingProtocols {
-				return nil, errors.New("unexpected response 101 Switching Protocols")
-			}
-			continue
-		}
 		got := resp.Header[h.RequestID]
 		if len(got) == 1 && got[0] == req.ID {
 			return resp, nil
@@ -255,15 +257,75 @@
 			return nil, errUnmatchedResponse
 		}
 		// This is a late second response to an earlier request.
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if err := skipBody(resp.Body); err != nil {
 			return nil, err
 		}
-		skipped++
 		cn.reusable = false
 	}
 	return nil, errUnmatchedResponse
 }
 
+// skipBody reads a body to its end. It fails after maxStaleBodyBytes.
+func skipBody(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxStaleBodyBytes+1))
+	if err == nil && n > maxStaleBodyBytes {
+		return errors.Errorf("body of a late response is longer than %d bytes", maxStaleBodyBytes)
+	}
+	return err
+}
+
+// readFinalHead reads response heads until one that is not informational. It
+// fails after readlimit.ResponseHeadBytes.
+func (cn *conn) readFinalHead(req *Request) (*http.Response, error) {
+	cn.limited.SetLimit(readlimit.ResponseHeadBytes)
+	defer cn.limited.Unlimit()
+	for {
+		if err := cn.checkStatusLine(); err != nil {
+			return nil, err
+		}
+		resp, err := http.ReadResponse(cn.br, &http.Request{Method: req.Method})
+		switch {
+		case errors.Is(err, readlimit.ErrExceeded):
+			return nil, errors.Annotatef(err, "response has no complete head within %d bytes", readlimit.ResponseHeadBytes)
+		case err != nil:
+			return nil, err
+		case resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errors.New("unexpected response 101 Switching Protocols")
+		case resp.StatusCode >= 200:
+			return resp, nil
+		}
+	}
+}
+
+// statusLineStart is the form of the start of a status line. A d stands for any
+// digit and an s for the first digit of the status, which is not 0.
+const statusLineStart = "HTTP/1.d sdd"
+
+// checkStatusLine waits for the start of a status line. It fails at the first
+// byte that does not belong there, without waiting for the end of the line.
+func (cn *conn) checkStatusLine() error {
+	for i := range len(statusLineStart) {
+		b, err := cn.br.Peek(i + 1)
+		if err != nil {
+			return err
+		}
+		if !matchesForm(b[i], statusLineStart[i]) {
+			return errors.Errorf("response starts with %q, expected a status line of HTTP/1.x", b)
+		}
+	}
+	return nil
+}
+
+func matchesForm(b, form byte) bool {
+	switch form {
+	case 'd':
+		return b >= '0' && b <= '9'
+	case 's':
+		return b >= '1' && b <= '9'
+	}
+	return b == form
+}
+
 // notRun reports whether the server states that it did not run the request.
 func (cn *conn) notRun(h *Headers, resp *http.Response) bool {
 	return resp.StatusCode == http.StatusMisdirectedRequest || resp.Header.Get(h.NotRun) != ""
@@ -291,12 +353,9 @@
 	cn.idleUntil = time.Now().Add(keepAliveTimeout(resp.Header.Get("Keep-Alive")))
 	call.StripHopByHop(out.Header)
 	b := &responseBody{cn: cn, r: resp.Body, stop: stop, complete: resp.ContentLength == 0}
-	out.Body = b
+	out.Body, out.body = b, b
 	if out.NotRun {
-		// The body of a refusal is small and not passed on, so it is read here
-		// to keep the connection reusable.
-		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxRefusalBodyBytes))
-		b.complete = err == nil && n < maxRefusalBodyBytes
+		b.skipRefusal()
 	}
 	return out
 }
@@ -322,6 +381,21 @@
 	stop     func() bool
 	complete bool
 	finished bool
+	// timeLimited is set when the connection has a read deadline.
+	timeLimited bool
+}
+
+func (b *responseBody) limitTime(d time.Duration) {
+	b.timeLimited = true
+	_ = b.cn.nc.SetReadDeadline(time.Now().Add(d))
+}
+
+// skipRefusal reads the body of a refusal, which is small and not passed on, to
+// keep the connection reusable.
+func (b *responseBody) skipRefusal() {
+	b.limitTime(refusalBodyTimeout)
+	n, err := io.Copy(io.Discard, io.LimitReader(b.r, maxRefusalBodyBytes))
+	b.complete = err == nil && n < maxRefusalBodyBytes
 }
 
 // Read implements io.Reader. An error other than io.EOF means that the body is
@@ -353,6 +427,9 @@
 		b.cn.reusable = false
 	}
 	if b.complete && b.cn.reusable && b.cn.br.Buffered() == 0 {
+		if b.timeLimited {
+			_ = b.cn.nc.SetReadDeadline(time.Time{})
+		}
 		b.cn.client.putIdle(b.cn)
 		return
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -143,6 +143,7 @@
 		Budgets: forward.NewBudgets(n.bounds().RetryShare*retryShareFraction, n.retrySlack),
 	})
 	n.ingress = ingress.NewServer(n.platform.CallerHeaders(), n.forward.Serve, n.callerLimits)
+	n.ingress.OnAnswerDropped, n.ingress.OnUnread = n.recordDroppedAnswer, n.recordUnread
 	n.grpc = grpc.NewServer(peer.ServerOptions()...)
 	fleetpb.RegisterFleetServer(n.grpc, fleet.NewServer(n.hub, n.broker, n.rates))
 	n.registerGauges()
@@ -325,8 +326,10 @@
 		{"sweep", n.runSweep},
 		{"peers", func(context.Context) error { return n.noRestartOnStop(n.grpc.Serve(n.peerLis)) }},
 		{"callers", func(context.Context) error { return n.noRestartOnStop(n.ingress.Serve(n.callerLis)) }},
-		{"ready", func(context.Context) error { return n.noRestartOnStop(http.Serve(n.readyLis, n.readyMux())) }},
-		{"metrics", func(context.Context) error { return n.noRestartOnStop(http.Serve(n.metricsLis, n.metricsMux())) }},
+		{"ready", func(context.Context) error { return n.noRestartOnStop(newProbeServer(n.readyMux()).Serve(n.readyLis)) }},
+		{"metrics", func(context.Context) error {
+			return n.noRestartOnStop(newProbeServer(n.metricsMux()).Serve(n.metricsLis))
+		}},
 	}
 	for _, w := range n.watchers {
 		list = append(list, task{"watch " + w.name, w.Run})
