ingress: answer every request that was read before a connection closes

Callers that pipeline requests lost ready answers on each planned stop: the first answer after Drain carried Connection: close and ended the connection, whatever else it owed. The later requests, already passed on, were cancelled and their answers discarded. CloseIdle took a connection for idle while a request was being read on it: the caller got 408, or nothing.

The decision was made from three unrelated values: the draining flag, the number of requests that were started, and a closing flag that the reader saw too late.

connState holds them under one lock. A response closes the connection only if no other is owed and the reader can start no further request. A request of which bytes were read counts as owed, as does one that is refused. While draining, the reader takes no request behind an unanswered one; Drain wakes readers that wait behind one. CloseIdle closes a connection only while its reader waits and nothing is owed. All decisions are per request, none per byte.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -53,8 +53,9 @@
 	br      *bufio.Reader
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
-	// outstanding counts the requests that were read and not yet answered.
-	outstanding atomic.Int32
+	state   connState
+	// lastRequest is set by readLoop when the caller sends no further request.
+	lastRequest bool
 	// pending holds the outstanding responses in the order of the requests.
 	pending chan *pendingResponse
 	// list holds the requests of pending and the one that writeLoop answers.
@@ -67,8 +68,6 @@
 	restIsBody bool
 	// writerDone is closed when writeLoop returns.
 	writerDone chan struct{}
-	// closing is set when no further request may be read.
-	closing atomic.Bool
 	// writeEnded is set when no further response will be written.
 	writeEnded atomic.Bool
 	// lastWrite is the time of the last response, or of accepting the
@@ -110,11 +109,8 @@
 	return c
 }
 
-// interrupt makes readLoop return by setting a read deadline in the past.
-func (c *conn) interrupt() {
-	c.closing.Store(true)
-	_ = c.nc.SetReadDeadline(time.Unix(1, 0))
-}
+// interrupt ends a read of readLoop by setting a read deadline in the past.
+func (c *conn) interrupt() { _ = c.nc.SetReadDeadline(time.Unix(1, 0)) }
 
 // serve handles the connection and returns after it was closed.
 func (c *conn) serve() {
@@ -151,14 +147,18 @@
 	for {
 		limits := c.srv.effectiveLimits()
 		if more, err := c.awaitRequest(limits); !more {
-			if c.closing.Load() {
+			switch {
+			case c.writeEnded.Load():
 				return nil
+			case err != nil:
+				return err
 			}
-			return err
+			return c.awaitDisconnect()
 		}
 		req, refusal, err := c.readRequest(limits)
 		if refusal != nil {
 			c.restIsBody = true
+			c.state.start(stopped)
 			c.enqueue(&pendingResponse{response: resolved(refusal), last: true})
 			return nil
 		}
@@ -176,34 +176,31 @@
 }
 
 // awaitRequest waits for the first byte of the next request. It returns false
-// when the caller has disconnected, the connection is closing or the idle
+// when the caller has disconnected, no further request may be read or the idle
 // timeout has expired, with the read error if there was one.
 func (c *conn) awaitRequest(limits Limits) (more bool, err error) {
 	for {
 		if c.br.Buffered() > 0 {
-			return !c.closing.Load(), nil
-		}
-		if c.closing.Load() {
-			return false, nil
+			return c.state.beginRead(), nil
 		}
 		idleFrom := time.Unix(0, c.lastWrite.Load())
-		if c.outstanding.Load() > 0 {
+		if c.state.owed() > 0 {
 			idleFrom = time.Now()
 		}
+		// The deadline is set first, so that it cannot replace that of interrupt.
 		_ = c.nc.SetReadDeadline(idleFrom.Add(limits.IdleTimeout))
-		if c.closing.Load() {
+		if !c.state.wait(c.srv.draining.Load()) {
 			return false, nil
 		}
 		_, err := c.br.Peek(1)
 		if err == nil {
-			return true, nil
+			continue
 		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) || c.closing.Load() {
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return false, err
 		}
 		idle := time.Since(time.Unix(0, c.lastWrite.Load()))
-		if c.outstanding.Load() == 0 && idle >= limits.IdleTimeout {
-			c.closing.Store(true)
+		if c.state.owed() == 0 && idle >= limits.IdleTimeout {
 			return false, nil
 		}
 	}
@@ -211,10 +208,11 @@
 
 // awaitDisconnect is called after the last request of the connection was
 // started. It returns the read error when the caller disconnects before the
-// response was written, and nil otherwise.
+// response was written, and nil otherwise. Requests that it discards count as not
+// read, because the last response closes the connection.
 func (c *conn) awaitDisconnect() error {
 	_ = c.nc.SetReadDeadline(time.Time{})
-	if c.writeEnded.Load() {
+	if c.writeEnded.Load() || c.state.owed() == 0 {
 		return nil
 	}
 	_, err := io.Copy(io.Discard, c.br)
@@ -245,7 +243,7 @@
 	if hr.ContentLength > limits.BodyBytes {
 		return nil, statusResponse(http.StatusRequestEntityTooLarge), nil
 	}
-	if strings.EqualFold(hr.Header.Get("Expect"), "100-continue") && c.outstanding.Load() == 0 {
+	if strings.EqualFold(hr.Header.Get("Expect"), "100-continue") && c.state.owed() == 0 {
 		if _, err := io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return nil, nil, err
 		}
@@ -313,11 +311,8 @@
 // readBody buffers a body of at most maxBufferedBodyBytes and sets up a stream
 // for a longer one.
 func (c *conn) readBody(req *Request, hr *http.Request, limits Limits) (*Request, *Response, error) {
-	closeAfter := hr.Close || !hr.ProtoAtLeast(1, 1)
+	c.lastRequest = hr.Close || !hr.ProtoAtLeast(1, 1)
 	call.StripHopByHop(req.Header)
-	if closeAfter {
-		c.closing.Store(true)
-	}
 	if hr.Body == http.NoBody || hr.ContentLength == 0 {
 		return req, nil, nil
 	}
@@ -363,8 +358,15 @@
 // returns only after a request with a streamed body has run, because the handler
 // reads the body from the connection.
 func (c *conn) startRequest(req *Request) bool {
-	p := &pendingResponse{response: make(chan *Response, 1), request: req, method: req.Method, last: c.closing.Load()}
-	c.outstanding.Add(1)
+	p := &pendingResponse{response: make(chan *Response, 1), request: req, method: req.Method, last: c.lastRequest}
+	next := waiting
+	switch {
+	case c.lastRequest || req.Stream != nil:
+		next = stopped
+	case c.br.Buffered() > 0:
+		next = reading
+	}
+	c.state.start(next)
 	if !c.enqueue(p) {
 		return false
 	}
@@ -384,7 +386,7 @@
 		return false
 	}
 	go run()
-	return !p.last
+	return !c.lastRequest
 }
 
 func (c *conn) enqueue(p *pendingResponse) bool {
@@ -395,7 +397,7 @@
 	case <-c.writerDone:
 		var end *ConnectionEnd
 		if errors.As(context.Cause(c.ctx), &end) {
-			c.reportDropped(p, end, int(max(0, c.outstanding.Load()-1)), 0)
+			c.reportDropped(p, end, max(0, c.state.owed()-1), 0)
 		}
 		return false
 	}
@@ -415,7 +417,7 @@
 			resp = <-p.response
 			resp.Abort = true
 		}
-		last := p.last || c.srv.draining.Load()
+		last := c.state.beginAnswer(p.last, c.srv.draining.Load())
 		err := c.writeResponse(bw, p, resp, last)
 		var end *ConnectionEnd
 		if err != nil || last {
@@ -427,7 +429,7 @@
 			resp.OnWritten(nil)
 		}
 		c.lastWrite.Store(time.Now().UnixNano())
-		c.outstanding.Add(-1)
+		c.state.endAnswer()
 		c.list.remove()
 		if end != nil {
 			ahead := 0
@@ -445,6 +447,7 @@
 // one. They get no response, so the caller must treat them as not read. ahead is
 // the number of requests that were dropped already.
 func (c *conn) shutdown(end *ConnectionEnd, ahead int) {
+	c.state.end()
 	c.writeEnded.Store(true)
 	c.cancel(end)
 	c.interrupt()
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -139,18 +139,26 @@
 	}
 }
 
-// Drain closes each connection after its next response.
-func (s *Server) Drain() { s.draining.Store(true) }
+// Drain closes each connection after the last response that it owes: to requests
+// of which bytes were read. From then on, a request is read only from a connection
+// on which none is unanswered.
+func (s *Server) Drain() {
+	s.draining.Store(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.state.drain(c.interrupt)
+	}
+}
 
-// CloseIdle closes the connections without an outstanding request. A request that
-// arrives at the same moment may get no response, in which case it was not read.
+// CloseIdle closes the connections that owe no response and on which no request is
+// being read. A request that arrives at the same moment may get no response, in
+// which case it was not read.
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.outstanding.Load() == 0 {
-			c.interrupt()
-		}
+		c.state.closeIdle(c.interrupt)
 	}
 }
 
--- /dev/null
+++ b/ingress/state.go
@@ -0,0 +1,124 @@
+package ingress
+
+import "sync"
+
+// readerState is what readLoop does.
+type readerState uint8
+
+const (
+	// reading: bytes of a request were read, and it is not started yet.
+	reading readerState = iota
+	// waiting: the read buffer is empty.
+	waiting
+	// stopped: no further request is started.
+	stopped
+)
+
+// connState decides which response of a connection is the last one. Every request
+// of which bytes were read gets a response: a response closes the connection only
+// if no other is owed and, under the same lock, no further request can start.
+type connState struct {
+	mu     sync.Mutex
+	reader readerState
+	// unanswered counts the requests that were read and whose response is not
+	// being written yet. writing says that a response is being written.
+	unanswered int
+	writing    bool
+	// closing says that the connection closes as soon as nothing is owed.
+	closing bool
+	// ended says that the last response was chosen, or that writing failed.
+	ended bool
+}
+
+// wait records that the read buffer is empty. It returns false, and stops the
+// reader, if no further request may be read.
+func (s *connState) wait(draining bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reader = waiting
+	if s.ended || s.closing || draining && s.unanswered > 0 {
+		s.reader = stopped
+	}
+	return s.reader == waiting
+}
+
+// beginRead records that bytes of a request were read. It returns false, and
+// stops the reader, if the last response was chosen before.
+func (s *connState) beginRead() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reader = reading
+	if s.ended {
+		s.reader = stopped
+	}
+	return s.reader == reading
+}
+
+// start records that a request was read completely, or refused, and what readLoop
+// does next.
+func (s *connState) start(next readerState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unanswered++
+	s.reader = next
+}
+
+// beginAnswer records that a response is ready to be written, and reports whether
+// it is the last one. With mustEnd it always is.
+func (s *connState) beginAnswer(mustEnd, draining bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unanswered--
+	s.writing = true
+	last := mustEnd || (draining || s.closing) && s.unanswered == 0 && s.reader != reading
+	s.ended = s.ended || last
+	return last
+}
+
+// endAnswer records that a response was written.
+func (s *connState) endAnswer() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writing = false
+}
+
+// end records that no further response is written.
+func (s *connState) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+}
+
+// owed returns the number of requests that were read and not answered completely.
+func (s *connState) owed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.owedLocked()
+}
+
+func (s *connState) owedLocked() int {
+	if s.writing {
+		return s.unanswered + 1
+	}
+	return s.unanswered
+}
+
+// drain calls interrupt if the reader waits for a request behind others.
+func (s *connState) drain(interrupt func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.reader == waiting && s.unanswered > 0 {
+		interrupt()
+	}
+}
+
+// closeIdle makes an idle connection close and calls interrupt. A request of which
+// bytes were read at the same moment is still answered.
+func (s *connState) closeIdle(interrupt func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.reader == waiting && s.owedLocked() == 0 {
+		s.closing = true
+		interrupt()
+	}
+}
