--- a/ingress/open_test.go
+++ b/ingress/open_test.go
@@ -62,14 +62,21 @@
 
 // Guards against requests that are counted as outstanding after their answer.
 func TestAnsweredRequestsAreNotOutstanding(t *testing.T) {
-	s, nc := startServer(t, Limits{}, echo)
-	br := bufio.NewReader(nc)
-	for range 3 * maxOutstanding {
-		send(t, nc, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-		receive(t, br)
-	}
-	require.Eventually(t, func() bool { return len(s.Open()[0].Outstanding) == 0 }, time.Minute, time.Millisecond)
-	require.Zero(t, s.Open()[0].UnreadBytes)
+	synctest.Test(t, func(t *testing.T) {
+		s := NewServer(testHeaders, echo, func() Limits { return Limits{} })
+		client, server := net.Pipe()
+		c := newConn(s, server)
+		go c.serve()
+		br := bufio.NewReader(client)
+		for range 3 * maxOutstanding {
+			send(t, client, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			receive(t, br)
+			synctest.Wait()
+			require.Empty(t, c.describe().Outstanding)
+			require.Zero(t, c.unreadBytes())
+		}
+		require.NoError(t, client.Close())
+	})
 }
 
 // halfCloser is a connection whose write side can be closed.
--- a/node/dropped.go
+++ b/node/dropped.go
@@ -11,6 +11,7 @@
 
 // recordDroppedAnswer logs and counts a request whose answer was not delivered.
 func (n *Node) recordDroppedAnswer(d ingress.DroppedAnswer) {
+	n.answersDropped.Add(1)
 	n.metrics.Count("answers_dropped", "cause", string(d.Cause))
 	e := n.log.Event("answer_dropped")
 	if e == nil {
--- a/node/node.go
+++ b/node/node.go
@@ -90,7 +90,9 @@
 	startedAt time.Time
 	addresses addressCache
 	stopping  atomic.Bool
-	watchers  []*watcher
+	// answersDropped counts the requests whose answer was not delivered.
+	answersDropped atomic.Int64
+	watchers       []*watcher
 
 	callerLis, peerLis, readyLis, metricsLis net.Listener
 }
@@ -306,7 +308,7 @@
 	n.log.Event("started").Str("data_centre", string(n.settings.DataCentre)).Str("peers", n.settings.PeerAddr).Send()
 	<-ctx.Done()
 	n.stop(work)
-	n.log.Event("stopped").Send()
+	n.log.Event("stopped").Int64("answers_dropped", n.answersDropped.Load()).Send()
 	cancel()
 	<-done
 	n.log.Flush()
--- a/node/stop.go
+++ b/node/stop.go
@@ -32,7 +32,8 @@
 			Int("connections", n.ingress.OpenConnections()).Send()
 	}
 	n.stopping.Store(true)
-	n.log.Event("stopping").Int("connections", n.ingress.OpenConnections()).Send()
+	n.log.Event("stopping").Int("connections", n.ingress.OpenConnections()).
+		Int64("answers_dropped", n.answersDropped.Load()).Send()
 	n.ingress.Drain()
 	if _, leads := n.lease.Leads(); leads {
 		step("settle")
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -81,6 +81,8 @@
 	require.Equal(t, "s1", dropped[0]["server"])
 	require.Positive(t, dropped[0]["attempt_ms"])
 	require.Equal(t, true, dropped[0]["draining"])
+	require.Equal(t, int64(1), n.answersDropped.Load())
+	require.Equal(t, 0.0, logLines(t, n.log, out, "stopping")[0]["answers_dropped"])
 }
 
 // Guards against cut connections that look alike whether they were idle or a
