--- a/backend/client.go
+++ b/backend/client.go
@@ -28,6 +28,8 @@
 	// maxRefusalBodyBytes limits how much of the body of a Not-Run response is
 	// read in order to reuse its connection.
 	maxRefusalBodyBytes = 4 << 10
+	// refusalBodyTimeout bounds the wait for that body.
+	refusalBodyTimeout = 50 * time.Millisecond
 	// ioBufferBytes is the size of each connection's read buffer and of its
 	// write buffer.
 	ioBufferBytes = 32 << 10
