forward: refuse requests at once while their service has no usable server

While all servers of a keyed service were leaving, gone or in a data centre out of service, each request for it waited 0.6 s (or half of its time) for an owner that could not come, and was refused then. Pools without keys refuse at once.

Evidence: TestRequestIsRefusedAtOnceWithoutUsableServers failed: requests waited (event await_owner; four requests took 2.4 s).

A request that would have bridged the moment until a first server registers is refused now and comes back.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -230,9 +230,9 @@
 
 // awaitOwner returns the server that owns the request's key, and the snapshot
 // in which it does. While the key is being handed over, it waits up to
-// maxOwnerWait and at most half of the time left. With newOwnerOnly it also waits
-// for an owner other than the last one tried, but returns that one when the wait
-// ends.
+// maxOwnerWait and at most half of the time left, unless the service has no
+// usable server. With newOwnerOnly it also waits for an owner other than the last
+// one tried, but returns that one when the wait ends.
 func (f *Forwarder) awaitOwner(ctx context.Context, r *request, newOwnerOnly bool) (topo.ServerID, *view.Snapshot, *refusal) {
 	if !r.HasKey {
 		return "", nil, &refusal{errkind.BadRequest, 0, "request has no key"}
@@ -252,6 +252,9 @@
 		if ok && rng.State == keyrange.Orphaned {
 			return "", nil, &refusal{errkind.NoOwner, f.failureRetryAfter(r), "key has no owner: its last owner does not answer, and the hold of that owner has not expired"}
 		}
+		if len(snap.ServersOf(r.service.Name)) == 0 {
+			return "", nil, &refusal{errkind.NoOwner, f.failureRetryAfter(r), "service has no usable server"}
+		}
 		usable := ok && rng.State == keyrange.Owned && snap.Usable(rng.Server) != nil
 		if usable && (!newOwnerOnly || rng.Server != lastTried) {
 			return rng.Server, snap, nil
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -250,3 +250,32 @@
 	go func() { time.Sleep(50 * time.Millisecond); tf.setTable(keyrange.Owned, 4) }()
 	require.Equal(t, 200, tf.Serve(context.Background(), newRequest("/w/1")).Status)
 }
+
+// Guards against requests that wait for an owner of their key although their
+// service has no server that could become one.
+func TestRequestIsRefusedAtOnceWithoutUsableServers(t *testing.T) {
+	for name, entry := range map[string]directory.Server{
+		"leaving":       {ID: "s1", Service: "s", State: directory.Leaving, Rev: 2},
+		"other service": {ID: "s1", Service: "other", State: directory.Ready, Rev: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tf := newTestForwarder(t, okResponse)
+			tf.view.Directory(func(d *directory.Directory) { d.Put(entry) })
+			var lines bytes.Buffer
+			tf.Log = declog.New(&lines, "vm")
+			for _, state := range []keyrange.State{keyrange.Owned, keyrange.Moving} {
+				tf.setTable(state, uint64(state)+2)
+				for _, path := range []string{"/w/1", "/r/1"} {
+					ans := tf.Serve(context.Background(), newRequest(path))
+					require.Equal(t, http.StatusServiceUnavailable, ans.Status)
+					require.Equal(t, "no_owner\n", string(ans.Body))
+					require.NotEmpty(t, ans.Header.Get("Retry-After"))
+				}
+			}
+			tf.Log.Flush()
+			require.NotContains(t, lines.String(), "await_owner")
+			require.Empty(t, tf.received)
+			require.Equal(t, 4, tf.rates.returned)
+		})
+	}
+}
