ingress: guard the end of a connection whose caller goes on sending

No fault found. With the deadline of the last read removed on a scratch copy, TestCallerThatNeverStopsSendingIsClosed fails: the connection is still open after 30 s.

--- a/ingress/endless_test.go
+++ b/ingress/endless_test.go
@@ -78,3 +78,19 @@
 	}
 	return textResponse(http.StatusOK, "")
 }
+
+// Guards against a connection that stays open after its last response because the
+// caller goes on sending.
+func TestCallerThatNeverStopsSendingIsClosed(t *testing.T) {
+	s, nc := startServer(t, Limits{}, echo)
+	send(t, nc, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+	go func() { _, _ = io.Copy(io.Discard, nc) }()
+	var err error
+	for start := time.Now(); err == nil && time.Since(start) < 30*time.Second; time.Sleep(time.Millisecond) {
+		_, err = io.WriteString(nc, strings.Repeat("x", 1<<10))
+	}
+	require.Error(t, err, "connection is still open after 30 s")
+	for s.OpenConnections() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
