--- a/forward/stream.go
+++ b/forward/stream.go
@@ -36,19 +36,20 @@
 }
 
 // streamEnd returns the time by which an answer that is passed on while it
-// arrives must be complete.
-func (r *request) streamEnd() time.Time {
+// arrives must be complete, and the cause with which its context ends then.
+func (r *request) streamEnd() (time.Time, error) {
 	if r.Deadline.IsZero() {
-		return time.Now().Add(maxStreamTime)
+		return time.Now().Add(maxStreamTime), ErrStreamTimeout
 	}
-	return r.Deadline
+	return r.Deadline, ErrCallerDeadline
 }
 
 // stream makes res an answer whose body is passed on as it arrives. The slot is
 // freed when the body ends. A body that breaks off counts as a failure of the
 // server, unless the request had ended before.
 func (f *Forwarder) stream(ctx context.Context, r *request, server grantedServer, res *result, body io.Reader) {
-	extendDeadline(ctx, r.streamEnd())
+	until, cause := r.streamEnd()
+	extendDeadline(ctx, until, cause)
 	res.resp.Body = &streamedBody{Reader: body, source: res.resp.Body, onEnd: func(err error) {
 		if err == nil || err == io.EOF {
 			f.finishSlot(server, res.serviceTime)
--- a/internal/readlimit/readlimit.go
+++ b/internal/readlimit/readlimit.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"sync/atomic"
 
 	"github.com/juju/errors"
 )
@@ -20,6 +21,7 @@
 	r         io.Reader
 	limited   bool
 	remaining int64
+	total     atomic.Int64
 }
 
 // New returns a Reader without a limit.
@@ -33,10 +35,16 @@
 // Unlimit removes the limit.
 func (r *Reader) Unlimit() { r.limited = false }
 
+// Total returns the number of bytes that were read. It is safe for concurrent
+// use.
+func (r *Reader) Total() int64 { return r.total.Load() }
+
 // Read implements io.Reader.
 func (r *Reader) Read(p []byte) (int, error) {
 	if !r.limited {
-		return r.r.Read(p)
+		n, err := r.r.Read(p)
+		r.total.Add(int64(n))
+		return n, err
 	}
 	if r.remaining <= 0 {
 		return 0, ErrExceeded
@@ -46,5 +54,6 @@
 	}
 	n, err := r.r.Read(p)
 	r.remaining -= int64(n)
+	r.total.Add(int64(n))
 	return n, err
 }
