--- a/node/stop.go
+++ b/node/stop.go
@@ -39,7 +39,8 @@
 			Int("connections", n.ingress.OpenConnections()).Send()
 	}
 	n.stopping.Store(true)
-	n.log.Event("stopping").Int("connections", n.ingress.OpenConnections()).Send()
+	n.log.Event("stopping").Int("connections", n.ingress.OpenConnections()).
+		Int64("answers_dropped", n.answersDropped.Load()).Send()
 	n.ingress.Drain()
 	refuse := time.AfterFunc(limit-refuseMargin, func() {
 		step("refuse_waiting")
