ingress: start one request of a segment that comes during a stop

A draining VM no longer reads requests behind others, but still started several that came together on an idle connection.

While draining, only bytes that were in the read buffer before are read as requests behind another one. The rest of a segment counts as not read: the answer before it closes the connection, and its caller sends it again elsewhere.

Before: TestDrainStartsOneRequestOfASegment (whole, part) "Connection: close on /1: expected true, actual false"; the second request was passed on.

Two requests read before SIGTERM can still end like this, if the first one lasts until the stop ends.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -163,7 +163,7 @@
 		req, refusal, err := c.readRequest(limits)
 		if refusal != nil {
 			c.restIsBody = true
-			c.state.start(stopped)
+			c.state.start(stopped, false)
 			c.enqueue(&pendingResponse{response: resolved(refusal), last: true})
 			return nil
 		}
@@ -375,7 +375,7 @@
 	case c.br.Buffered() > 0:
 		next = reading
 	}
-	c.state.start(next)
+	next = c.state.start(next, c.srv.draining.Load())
 	if !c.enqueue(p) {
 		return false
 	}
@@ -395,7 +395,7 @@
 		return false
 	}
 	go run()
-	return !c.lastRequest
+	return next != stopped
 }
 
 func (c *conn) enqueue(p *pendingResponse) bool {
--- a/ingress/owed_test.go
+++ b/ingress/owed_test.go
@@ -305,6 +305,27 @@
 	})
 }
 
+// Guards against passing on several requests that come in one segment on an idle
+// connection during a stop: the answers to the later ones may still wait for the
+// first one when the process ends.
+func TestDrainStartsOneRequestOfASegment(t *testing.T) {
+	for name, rest := range map[string]string{"whole": get("/2"), "part": get("/2")[:20]} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newGates("/1")
+				s, c := dialPipe(t, defaults, g.handle)
+				synctest.Wait()
+				s.Drain()
+				send(t, c, get("/1")+rest)
+				synctest.Wait()
+				g.open("/1")
+				c.requireAnswer(t, "/1", true)
+				require.Equal(t, []string{"/1"}, g.uris())
+			})
+		})
+	}
+}
+
 // Guards against any order of reads, answers, Drain and CloseIdle in which a
 // request that was passed on gets no answer.
 func TestEveryHandledRequestIsAnswered(t *testing.T) {
--- a/ingress/state.go
+++ b/ingress/state.go
@@ -24,6 +24,8 @@
 	// being written yet. writing says that a response is being written.
 	unanswered int
 	writing    bool
+	// buffered says that the read buffer has not been empty since Drain.
+	buffered bool
 	// closing says that the connection closes as soon as nothing is owed.
 	closing bool
 	// ended says that the last response was chosen, or that writing failed.
@@ -35,7 +37,7 @@
 func (s *connState) wait(draining bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.reader = waiting
+	s.reader, s.buffered = waiting, false
 	if s.ended || s.closing || draining && s.unanswered > 0 {
 		s.reader = stopped
 	}
@@ -54,13 +56,18 @@
 	return s.reader == reading
 }
 
-// start records that a request was read completely, or refused, and what readLoop
-// does next.
-func (s *connState) start(next readerState) {
+// start records that a request was read completely, or refused, and what readLoop is
+// to do next. It returns what it does: while draining it reads no request behind
+// another one, except from bytes that were in the read buffer before.
+func (s *connState) start(next readerState, draining bool) readerState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.unanswered++
 	s.reader = next
+	if next == reading && draining && !s.buffered {
+		s.reader = stopped
+	}
+	return s.reader
 }
 
 // beginAnswer records that a response is ready to be written, and reports whether
@@ -114,6 +121,7 @@
 func (s *connState) drain(interrupt func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.buffered = s.reader == reading
 	if s.reader == waiting && s.unanswered > 0 {
 		interrupt()
 	}
