peer, daemon: bound the handshake of connections between VMs

A VM that stops waited up to 120 s for a peer that had connected and sent nothing, or whose packets no longer arrived: grpc.Server.Stop waits for handshakes, whose default bound is 120 s.

HandshakeTimeout (5 s) applies to both.

Before: TestSilentPeerDoesNotHoldUpStop "1m59s is not less than or equal to 5s". go test ./scenario passed once.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -148,7 +148,8 @@
 		Routes: &d.routes, Probes: probes{d.node}, Doer: d.router, Log: d.log, TLS: setup.caller,
 	})
 	d.certs = setup.certs
-	d.grpc = grpc.NewServer(append(setup.server, grpc.MaxConcurrentStreams(maxPeerStreams), grpc.StatsHandler(&d.pool.Traffic))...)
+	d.grpc = grpc.NewServer(append(setup.server, grpc.MaxConcurrentStreams(maxPeerStreams), grpc.StatsHandler(&d.pool.Traffic),
+		grpc.ConnectionTimeout(peer.HandshakeTimeout))...)
 	(&peer.Server{Control: d.node.Peer(), Home: d.home, Histories: d.home}).Register(d.grpc)
 }
 
--- a/peer/client.go
+++ b/peer/client.go
@@ -41,13 +41,17 @@
 	maxHeaderListBytes = 64 << 10
 )
 
+// HandshakeTimeout bounds the time from accepting a connection to the end of its
+// handshake. Stopping a gRPC server waits for handshakes.
+const HandshakeTimeout = 5 * time.Second
+
 // ServerOptions returns the options of a gRPC server that other VMs call. They
 // match those of the connections of a Pool.
 func ServerOptions() []grpc.ServerOption {
 	return []grpc.ServerOption{
 		grpc.InitialWindowSize(windowBytes), grpc.InitialConnWindowSize(windowBytes),
 		grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes),
-		grpc.MaxHeaderListSize(maxHeaderListBytes),
+		grpc.MaxHeaderListSize(maxHeaderListBytes), grpc.ConnectionTimeout(HandshakeTimeout),
 	}
 }
 
