--- a/node/node.go
+++ b/node/node.go
@@ -310,8 +310,10 @@
 	n.stop(work)
 	n.log.Event("stopped").Int64("answers_dropped", n.answersDropped.Load()).Send()
 	cancel()
-	<-done
-	n.log.Flush()
+	if !within(finalStepTimeout, func() { <-done }) {
+		n.log.Event("tasks_abandoned").Send()
+	}
+	within(finalStepTimeout, n.log.Flush)
 	return nil
 }
 
--- a/node/stop.go
+++ b/node/stop.go
@@ -15,16 +15,23 @@
 	// refuseMargin is the time before SIGKILL at which requests that still wait
 	// for a server are refused, so that their callers get a response.
 	refuseMargin = 1500 * time.Millisecond
+	// finalStepTimeout bounds each of the steps that follow the last response.
+	// They wait for goroutines that may be blocked, such as the handshake of a
+	// peer that sends nothing. Together they take less than killMargin.
+	finalStepTimeout = 100 * time.Millisecond
 	// stopPollInterval is how often a stopping VM checks for open connections.
 	stopPollInterval = 50 * time.Millisecond
 )
 
 // stop shuts the node down and lets the requests in progress finish, as far as
-// StopWithin permits. It makes each remaining response the last of its
-// connection, releases the lease, stops accepting connections once balancerDelay
-// has passed, and closes idle connections.
+// StopWithin permits. It closes each connection after the last response that it
+// owes, releases the lease meanwhile, stops accepting connections once
+// balancerDelay has passed, and closes idle connections. All time limits count from
+// its call.
 func (n *Node) stop(ctx context.Context) {
-	begin := time.Now()
+	begin, limit := time.Now(), n.bounds().StopWithin
+	ctx, cancel := context.WithDeadline(ctx, begin.Add(limit-killMargin))
+	defer cancel()
 	// Each step is logged before it begins, so that the log of a process that was
 	// killed shows in which one.
 	step := func(name string) {
@@ -35,41 +42,65 @@
 	n.log.Event("stopping").Int("connections", n.ingress.OpenConnections()).
 		Int64("answers_dropped", n.answersDropped.Load()).Send()
 	n.ingress.Drain()
-	if _, leads := n.lease.Leads(); leads {
-		step("settle")
-		settled := n.assigner.Settle(ctx)
-		n.log.Event("settled").Bool("settled", settled).Send()
-		step("resign")
-		n.lease.Resign(settled)
-	} else {
-		step("resign")
-		n.lease.Resign(false)
-	}
+	refuse := time.AfterFunc(limit-refuseMargin, func() {
+		step("refuse_waiting")
+		n.forward.RefuseWaiting()
+	})
+	defer refuse.Stop()
+	released := make(chan struct{})
+	go func() { defer close(released); n.releaseLease(ctx, step) }()
 	step("await_balancer")
-	pause(ctx, min(balancerDelay, n.bounds().StopWithin/2))
+	pause(ctx, time.Until(begin.Add(min(balancerDelay, limit/2))))
 	step("close_listener")
 	_ = n.callerLis.Close()
 	step("close_idle")
 	n.ingress.CloseIdle()
-	waitCtx, cancel := context.WithDeadline(ctx, begin.Add(n.bounds().StopWithin-killMargin))
-	defer cancel()
-	refuse := time.AfterFunc(time.Until(begin.Add(n.bounds().StopWithin-refuseMargin)), func() {
-		step("refuse_waiting")
-		n.forward.RefuseWaiting()
-	})
-	defer refuse.Stop()
 	step("await_connections")
-	for n.ingress.OpenConnections() > 0 && waitCtx.Err() == nil {
-		pause(waitCtx, stopPollInterval)
+	for n.ingress.OpenConnections() > 0 && ctx.Err() == nil {
+		pause(ctx, stopPollInterval)
 		n.ingress.CloseIdle()
 	}
 	if open := n.ingress.Open(); len(open) > 0 {
 		n.recordCutConnections(open)
 	}
+	select {
+	case <-released:
+	case <-ctx.Done():
+	}
 	step("close_peers")
 	for _, lis := range []interface{ Close() error }{n.readyLis, n.metricsLis} {
 		_ = lis.Close()
 	}
-	n.grpc.Stop()
-	n.peers.Close()
+	within(finalStepTimeout, func() {
+		n.grpc.Stop()
+		n.peers.Close()
+	})
+}
+
+// releaseLease gives up the leadership. It states that no order of this process can
+// still take effect if the assigner confirms that in time.
+func (n *Node) releaseLease(ctx context.Context, step func(name string)) {
+	settled := false
+	if _, leads := n.lease.Leads(); leads {
+		step("settle")
+		settled = n.assigner.Settle(ctx)
+		n.log.Event("settled").Bool("settled", settled).Send()
+	}
+	step("resign")
+	n.lease.Resign(settled)
+}
+
+// within calls f and waits for it to return, but at most for d. It reports whether f
+// returned.
+func within(d time.Duration, f func()) bool {
+	done := make(chan struct{})
+	go func() { defer close(done); f() }()
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-done:
+		return true
+	case <-t.C:
+		return false
+	}
 }
