node, forward: answer what is still at a server before a stop ends

Callers on a connection with several requests got neither an answer nor a refusal when a VM stopped: an answer that was ready waited, in the order of the connection, behind a request that its server had not answered, and both were cut 0.5 s before SIGKILL.

Change: 0.6 s before SIGKILL, AbandonAttempts ends the attempts that have no answer yet. Their callers are told that the outcome is unknown (502); it is never "not run". Answers behind them are delivered until 0.35 s before SIGKILL. Answers that are being streamed go on. The margin of 0.35 s covers the three final steps of 0.1 s each.

Without the call of abandon, TestStopDeliversReadyAnswerBehindUnfinishedRequest and TestAbandonedAttemptIsAnsweredWithUnknownOutcome fail: "expected: 502, actual: 504" at the route's timeout. TestWorkContextTellsTheLimit uses New instead of a zero Forwarder; what it checks is the same.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -93,6 +93,10 @@
 			continue
 		}
 		res.discard()
+		reason := res.reason
+		if cause := endCause(workCtx); cause != "" {
+			reason += "; request was cancelled: " + cause
+		}
 		cancel()
 		kind := errkind.ServerUnreachable
 		switch {
@@ -105,12 +109,12 @@
 		case res.outcome == NotOwner:
 			kind = errkind.NoOwner
 		}
-		return f.refuse(r, kind, f.failureRetryAfter(r), res.reason), action == ReportUnknown
+		return f.refuse(r, kind, f.failureRetryAfter(r), reason), action == ReportUnknown
 	}
 }
 
 // workContext returns the context of the attempts of a request. It ends at the
-// request's deadline. For a repeatable request it also ends when the caller
+// request's deadline, and when attempts are abandoned. For a repeatable request it also ends when the caller
 // disconnects; a request that is not repeatable continues without its caller.
 func (f *Forwarder) workContext(ctx context.Context, r *request) (context.Context, context.CancelFunc) {
 	if !r.attempts.Repeatable {
@@ -118,7 +122,12 @@
 	}
 	workCtx, cancel := context.WithCancelCause(ctx)
 	timer := newDeadlineTimer(r.deadline, r.deadlineCause, cancel)
-	return context.WithValue(workCtx, timerKey{}, timer), func() { timer.timer.Stop(); cancel(errFinished) }
+	timer.ignoreAbandon = context.AfterFunc(f.abandonCtx, func() { cancel(ErrStopping) })
+	return context.WithValue(workCtx, timerKey{}, timer), func() {
+		timer.timer.Stop()
+		timer.ignoreAbandon()
+		cancel(errFinished)
+	}
 }
 
 // timerKey is the context key of the deadlineTimer that ends a work context.
--- a/forward/cause.go
+++ b/forward/cause.go
@@ -51,6 +51,8 @@
 type deadlineTimer struct {
 	timer *time.Timer
 	cause atomic.Pointer[error]
+	// ignoreAbandon keeps AbandonAttempts from ending the work context.
+	ignoreAbandon func() bool
 }
 
 func newDeadlineTimer(until time.Time, cause error, cancel context.CancelCauseFunc) *deadlineTimer {
--- a/forward/cause_test.go
+++ b/forward/cause_test.go
@@ -157,7 +157,7 @@
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			r := &request{Request: newRequest("/r/1"), deadline: time.Now().Add(time.Second), deadlineCause: ErrRouteTimeout}
-			ctx, cancel := (&Forwarder{}).workContext(context.Background(), r)
+			ctx, cancel := New(Config{}).workContext(context.Background(), r)
 			defer cancel()
 			c.end(ctx, cancel)
 			<-ctx.Done()
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -80,12 +80,16 @@
 	// stopCtx ends when waiting requests are to be refused.
 	stopCtx context.Context
 	stop    context.CancelFunc
+	// abandonCtx ends when requests no longer wait for a server's answer.
+	abandonCtx context.Context
+	abandon    context.CancelFunc
 }
 
 // New returns a Forwarder that accepts requests until RefuseWaiting is called.
 func New(cfg Config) *Forwarder {
 	f := &Forwarder{Config: cfg, splitter: routemap.NewSplitter()}
 	f.stopCtx, f.stop = context.WithCancel(context.Background())
+	f.abandonCtx, f.abandon = context.WithCancel(context.Background())
 	return f
 }
 
@@ -94,6 +98,15 @@
 // run. Call it when the process will end before they could be answered.
 func (f *Forwarder) RefuseWaiting() { f.stop() }
 
+// AbandonAttempts refuses like RefuseWaiting, and answers the requests that were
+// sent to a server and have no answer yet: their outcome is unknown. Answers that
+// are being streamed go on. Call it just before the process ends, so that answers
+// which wait behind these requests on the same connection are delivered.
+func (f *Forwarder) AbandonAttempts() {
+	f.stop()
+	f.abandon()
+}
+
 const (
 	// defaultTimeout bounds the requests of routes that set no timeout.
 	defaultTimeout = 10 * time.Second
--- /dev/null
+++ b/forward/stop_test.go
@@ -0,0 +1,98 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitlock.example/godwitlock/ingress"
+)
+
+// stuckServer returns a reply function whose server answers all requests but the
+// one with the id "stuck".
+func stuckServer(t *testing.T) func(id string) string {
+	release := make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	return func(id string) string {
+		if id == "stuck" {
+			<-release
+			return ""
+		}
+		return okResponse(id)
+	}
+}
+
+// Guards against a stop that ends without an answer to a request at a server.
+func TestAbandonedAttemptIsAnsweredWithUnknownOutcome(t *testing.T) {
+	for _, path := range []string{"/w/1", "/r/1"} {
+		tf := newTestForwarder(t, stuckServer(t))
+		r := newRequest(path)
+		r.ID = "stuck"
+		r.Header.Set("Request-Id", r.ID)
+		go func() { <-tf.received; tf.AbandonAttempts() }()
+		ans := tf.Serve(context.Background(), r)
+		require.Equal(t, http.StatusBadGateway, ans.Status, path)
+		require.Equal(t, "outcome_unknown\n", string(ans.Body), path)
+		require.Empty(t, tf.received, path)
+	}
+}
+
+// Guards against a stop that cuts an answer on its way to the caller.
+func TestAbandoningAttemptsLeavesStreamedAnswers(t *testing.T) {
+	body := strings.Repeat("x", maxBufferedAnswerBytes+1)
+	tf := newTestForwarder(t, func(id string) string {
+		return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nSeal: s\r\nContent-Length: 16385\r\n\r\n" + body
+	})
+	ans := tf.Serve(context.Background(), newRequest("/r/1"))
+	require.NotNil(t, ans.Stream)
+	tf.AbandonAttempts()
+	got, err := io.ReadAll(ans.Stream)
+	require.NoError(t, err)
+	require.Equal(t, body, string(got))
+}
+
+// Guards against a stop that throws away an answer which is ready and waits behind
+// an unfinished request of its connection.
+func TestStopDeliversReadyAnswerBehindUnfinishedRequest(t *testing.T) {
+	tf := newTestForwarder(t, stuckServer(t))
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	headers := ingress.Headers{RequestID: "Request-Id", DeadlineMS: "Deadline-Ms", CallerKey: "Caller-Key", Key: "Key"}
+	answered := make(chan struct{})
+	s := ingress.NewServer(headers, func(ctx context.Context, r *ingress.Request) *ingress.Response {
+		ans := tf.Serve(ctx, r)
+		if r.ID == "ready" {
+			close(answered)
+		}
+		return ans
+	}, func() ingress.Limits { return ingress.Limits{} })
+	go func() { _ = s.Serve(lis) }()
+	nc, err := net.Dial("tcp", lis.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = nc.Close(); _ = lis.Close() })
+	for _, id := range []string{"stuck", "ready"} {
+		_, err = io.WriteString(nc, "GET /r/1 HTTP/1.1\r\nHost: h\r\nCaller-Key: k\r\nKey: 7\r\nRequest-Id: "+id+"\r\n\r\n")
+		require.NoError(t, err)
+	}
+	<-answered
+	s.Drain()
+	tf.AbandonAttempts()
+
+	br := bufio.NewReader(nc)
+	resp, err := http.ReadResponse(br, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, resp.StatusCode)
+	require.False(t, resp.Close)
+	_, err = io.Copy(io.Discard, resp.Body)
+	require.NoError(t, err)
+	resp, err = http.ReadResponse(br, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.True(t, resp.Close)
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -50,6 +50,9 @@
 func (f *Forwarder) stream(ctx context.Context, r *request, server grantedServer, res *result, body io.Reader) {
 	until, cause := r.streamEnd()
 	extendDeadline(ctx, until, cause)
+	if timer, ok := ctx.Value(timerKey{}).(*deadlineTimer); ok {
+		timer.ignoreAbandon()
+	}
 	res.resp.Body = &streamedBody{Reader: body, source: res.resp.Body, onEnd: func(err error) {
 		if err == nil || err == io.EOF {
 			f.finishSlot(server, res.serviceTime)
--- a/node/stop.go
+++ b/node/stop.go
@@ -11,7 +11,11 @@
 	// 1 s apart, plus network latency.
 	balancerDelay = 2600 * time.Millisecond
 	// killMargin is the time before SIGKILL by which the graceful stop ends.
-	killMargin = 500 * time.Millisecond
+	killMargin = 350 * time.Millisecond
+	// abandonMargin is the time before SIGKILL at which requests that are still at
+	// a server are answered with an unknown outcome. The answers that wait behind
+	// them on their connections are delivered in the time until killMargin.
+	abandonMargin = 600 * time.Millisecond
 	// refuseMargin is the time before SIGKILL at which requests that still wait
 	// for a server are refused, so that their callers get a response.
 	refuseMargin = 1500 * time.Millisecond
@@ -47,6 +51,11 @@
 		n.forward.RefuseWaiting()
 	})
 	defer refuse.Stop()
+	abandon := time.AfterFunc(limit-abandonMargin, func() {
+		step("abandon_attempts")
+		n.forward.AbandonAttempts()
+	})
+	defer abandon.Stop()
 	released := make(chan struct{})
 	go func() { defer close(released); n.releaseLease(ctx, step) }()
 	step("await_balancer")
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -66,7 +66,7 @@
 		steps = append(steps, line["step"])
 		require.Contains(t, line, "elapsed_ms")
 	}
-	require.Subset(t, steps, []any{"resign", "await_balancer", "close_listener", "close_idle", "await_connections", "close_peers"})
+	require.Subset(t, steps, []any{"resign", "await_balancer", "close_listener", "close_idle", "await_connections", "abandon_attempts", "close_peers"})
 	cut := logLines(t, n.log, out, "connection_cut")
 	require.Len(t, cut, 1)
 	require.Equal(t, nc.LocalAddr().String(), cut[0]["caller"])
@@ -85,6 +85,34 @@
 	require.Equal(t, 0.0, logLines(t, n.log, out, "stopping")[0]["answers_dropped"])
 }
 
+// Guards against a stop that ends before it has answered the requests at servers.
+func TestStopAbandonsAttemptsBeforeItEnds(t *testing.T) {
+	started, release := make(chan struct{}), make(chan struct{})
+	defer close(release)
+	n, out := stoppableNode(t, func(context.Context, *ingress.Request) *ingress.Response {
+		close(started)
+		<-release
+		return &ingress.Response{Status: 200}
+	})
+	b := DefaultBounds()
+	b.StopWithin = abandonMargin + 100*time.Millisecond
+	n.activeBounds.Store(&b)
+	nc, err := net.Dial("tcp", n.callerLis.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = nc.Close() }()
+	_, err = io.WriteString(nc, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	<-started
+	n.stop(context.Background())
+
+	elapsed := make(map[any]float64)
+	for _, line := range logLines(t, n.log, out, "stop_step") {
+		elapsed[line["step"]], _ = line["elapsed_ms"].(float64)
+	}
+	require.GreaterOrEqual(t, elapsed["abandon_attempts"], 100.0)
+	require.Less(t, elapsed["abandon_attempts"], elapsed["close_peers"])
+}
+
 // Guards against cut connections that look alike whether they were idle or a
 // request was read on them.
 func TestCutConnectionsTellTheirState(t *testing.T) {
