godwitlock-node: handle SIGHUP before the settings are read

A SIGHUP that came while a VM was starting ended its process: callers that the balancer sent there were reset until the platform started it again.

Cause: the handler was registered only after the settings were read and the addresses opened; until then SIGHUP has its default action.

--- a/cmd/godwitlock-node/main.go
+++ b/cmd/godwitlock-node/main.go
@@ -28,6 +28,10 @@
 
 func run() error {
 	debug.SetGCPercent(gcPercent)
+	// Without a handler, SIGHUP would end a process that is still starting.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	hangups := hangupSignals(ctx)
 	settings, err := platform.LoadSettings(os.Getenv(platform.SettingsEnv))
 	if err != nil {
 		return err
@@ -36,9 +40,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	go n.WatchSettings(ctx, hangupSignals(ctx), func() (node.Settings, error) {
+	go n.WatchSettings(ctx, hangups, func() (node.Settings, error) {
 		return platform.LoadSettings(os.Getenv(platform.SettingsEnv))
 	})
 	return n.Run(ctx)
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -106,14 +106,8 @@
 	require.NoError(c.t, err)
 	addrs := freeAddrs(c.t, 4)
 	p.frontAddr = addrs[0]
-	// The settings take a port range, so the lower port comes first. The two ports
-	// need not be adjacent.
-	internal := [2]string{port(addrs[2]), port(addrs[3])}
-	if len(internal[0]) > len(internal[1]) || len(internal[0]) == len(internal[1]) && internal[0] > internal[1] {
-		internal[0], internal[1] = internal[1], internal[0]
-	}
 	text := site.Settings(p.name, fmt.Sprintf("z%d", i%2), site.Addresses{
-		Front: addrs[0], Ready: addrs[1], InternalPorts: internal, Store: p.store.addr(),
+		Front: addrs[0], Ready: addrs[1], InternalPorts: portRange(addrs[2], addrs[3]), Store: p.store.addr(),
 	})
 	require.NoError(c.t, os.WriteFile(p.settings(), []byte(text), 0o600))
 	c.start(p)
