gateway: close a listener once on Shutdown

Shutdown returned "close tcp ...: use of closed network connection" when Serve had not returned yet: since the gateway closes its listeners, and http.Server.Shutdown closed them again.

The listener keeps the result of its first Close.

Before: TestShutdownClosesItsListenerOnce "Received unexpected error: use of closed network connection".

--- a/gateway/conns.go
+++ b/gateway/conns.go
@@ -42,18 +42,23 @@
 // connTracker holds the listeners and the open connections of a Gateway.
 type connTracker struct {
 	mu        sync.Mutex
-	listeners []net.Listener
+	listeners []*trackedListener
 	conns     map[*trackedConn]struct{}
 }
 
-// trackedListener accepts connections of a connTracker.
+// trackedListener accepts connections of a connTracker. It may be closed more than
+// once: by Shutdown of the Gateway and of its http.Server.
 type trackedListener struct {
 	net.Listener
 	tracker *connTracker
+	close   func() error
 }
 
+// Close implements net.Listener.
+func (l *trackedListener) Close() error { return l.close() }
+
 // Accept implements net.Listener.
-func (l trackedListener) Accept() (net.Conn, error) {
+func (l *trackedListener) Accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -69,8 +74,9 @@
 func (t *connTracker) listen(l net.Listener) net.Listener {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.listeners = append(t.listeners, l)
-	return trackedListener{l, t}
+	tracked := &trackedListener{Listener: l, tracker: t, close: sync.OnceValue(l.Close)}
+	t.listeners = append(t.listeners, tracked)
+	return tracked
 }
 
 func (t *connTracker) closeListeners() {
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,11 +30,18 @@
 	gateway  *gateway.Gateway
 	proceed  chan struct{}
 	requests chan string
-	// stopped is closed when Shutdown has returned.
+	// stopped is closed when Shutdown has returned err.
 	stopped chan struct{}
+	err     error
 }
 
 func newStopTest(t *testing.T) *stopTest {
+	t.Helper()
+	return newStopTestOn(t, func(l net.Listener) net.Listener { return l })
+}
+
+// newStopTestOn is newStopTest with a listener that wrap returns.
+func newStopTestOn(t *testing.T, wrap func(net.Listener) net.Listener) *stopTest {
 	t.Helper()
 	s := &stopTest{proceed: make(chan struct{}, 10), requests: make(chan string, 10), stopped: make(chan struct{})}
 	doer := call.DoerFunc(func(ctx context.Context, r *call.Request) (*call.Response, error) {
@@ -52,7 +60,7 @@
 	network := memnet.New()
 	lis, err := network.Host("g").Listen("tcp", "g:1")
 	require.NoError(t, err)
-	go func() { _ = s.gateway.Serve(lis) }()
+	go func() { _ = s.gateway.Serve(wrap(lis)) }()
 	s.Conn, err = network.Host("c").Dial(t.Context(), "tcp", "g:1")
 	require.NoError(t, err)
 	s.br = bufio.NewReader(s.Conn)
@@ -81,7 +89,7 @@
 
 // shutdown starts Shutdown and waits until it has closed the idle connections.
 func (s *stopTest) shutdown() {
-	go func() { defer close(s.stopped); _ = s.gateway.Shutdown(context.Background()) }()
+	go func() { defer close(s.stopped); s.err = s.gateway.Shutdown(context.Background()) }()
 	time.Sleep(drainTimeout + time.Second)
 }
 
@@ -162,3 +170,35 @@
 		})
 	}
 }
+
+// slowListener returns from Accept a second after it was closed, and cannot be closed
+// twice.
+type slowListener struct {
+	net.Listener
+	closed atomic.Bool
+}
+
+func (l *slowListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		time.Sleep(time.Second)
+	}
+	return nc, err
+}
+
+func (l *slowListener) Close() error {
+	if l.closed.Swap(true) {
+		return net.ErrClosed
+	}
+	return l.Listener.Close()
+}
+
+// Guards against a Shutdown that fails because it closes its listener twice.
+func TestShutdownClosesItsListenerOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStopTestOn(t, func(l net.Listener) net.Listener { return &slowListener{Listener: l} })
+		s.shutdown()
+		<-s.stopped
+		require.NoError(t, s.err)
+	})
+}
