ingress: end a draining connection whose caller never pauses

A caller whose bytes always reach into the next request kept its connection through a whole stop: the flag that lets requests from the read buffer be started was reset only when the buffer was empty, and it never was. Requests sent long after SIGTERM were passed on, and their answers could be cut when the process ended.

Drain records the number of received bytes instead. A request behind another one is started only if its first byte was received before.

TestDrainEndsWhileCallerGoesOnSending failed before: the answer to the last request of which bytes had come before Drain did not close the connection.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -163,7 +163,7 @@
 		req, refusal, err := c.readRequest(limits)
 		if refusal != nil {
 			c.restIsBody = true
-			c.state.start(stopped, false)
+			c.state.start(stopped, 0, false)
 			c.enqueue(&pendingResponse{response: resolved(refusal), last: true})
 			return nil
 		}
@@ -375,7 +375,7 @@
 	case c.br.Buffered() > 0:
 		next = reading
 	}
-	next = c.state.start(next, c.srv.draining.Load())
+	next = c.state.start(next, c.requestsEnd.Load(), c.srv.draining.Load())
 	if !c.enqueue(p) {
 		return false
 	}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -147,7 +147,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		c.state.drain(c.interrupt)
+		c.state.drain(c.limited.Total(), c.interrupt)
 	}
 }
 
--- a/ingress/owed_test.go
+++ b/ingress/owed_test.go
@@ -326,6 +326,30 @@
 	}
 }
 
+// Guards against a stop that starts requests which came after it, from a caller
+// that always sends a part of the next one.
+func TestDrainEndsWhileCallerGoesOnSending(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGates("/1")
+		s, c := dialPipe(t, defaults, g.handle)
+		text := get("/1", "/1")
+		send(t, c, text[:len(text)-1])
+		synctest.Wait()
+		s.Drain()
+		g.open("/1")
+		go func() {
+			for {
+				if _, err := io.WriteString(c, text[len(text)-1:]+text[:len(text)/2-1]); err != nil {
+					return
+				}
+			}
+		}()
+		c.requireAnswer(t, "/1", false)
+		c.requireAnswer(t, "/1", true)
+		require.Len(t, g.uris(), 2)
+	})
+}
+
 // Guards against any order of reads, answers, Drain and CloseIdle in which a
 // request that was passed on gets no answer.
 func TestEveryHandledRequestIsAnswered(t *testing.T) {
--- a/ingress/state.go
+++ b/ingress/state.go
@@ -24,8 +24,8 @@
 	// being written yet. writing says that a response is being written.
 	unanswered int
 	writing    bool
-	// buffered says that the read buffer has not been empty since Drain.
-	buffered bool
+	// drainedAt is the number of bytes that had been received at Drain.
+	drainedAt int64
 	// closing says that the connection closes as soon as nothing is owed.
 	closing bool
 	// ended says that the last response was chosen, or that writing failed.
@@ -37,7 +37,7 @@
 func (s *connState) wait(draining bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.reader, s.buffered = waiting, false
+	s.reader = waiting
 	if s.ended || s.closing || draining && s.unanswered > 0 {
 		s.reader = stopped
 	}
@@ -57,14 +57,15 @@
 }
 
 // start records that a request was read completely, or refused, and what readLoop is
-// to do next. It returns what it does: while draining it reads no request behind
-// another one, except from bytes that were in the read buffer before.
-func (s *connState) start(next readerState, draining bool) readerState {
+// to do next. end is the position in the received bytes after the request. It returns
+// what readLoop does: while draining it reads a request behind another one only if
+// its first byte was received before Drain.
+func (s *connState) start(next readerState, end int64, draining bool) readerState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.unanswered++
 	s.reader = next
-	if next == reading && draining && !s.buffered {
+	if next == reading && draining && end >= s.drainedAt {
 		s.reader = stopped
 	}
 	return s.reader
@@ -117,11 +118,12 @@
 	return s.unanswered
 }
 
-// drain calls interrupt if the reader waits for a request behind others.
-func (s *connState) drain(interrupt func()) {
+// drain records the number of received bytes, and calls interrupt if the reader
+// waits for a request behind others.
+func (s *connState) drain(received int64, interrupt func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.buffered = s.reader == reading
+	s.drainedAt = received
 	if s.reader == waiting && s.unanswered > 0 {
 		interrupt()
 	}
