ingress: do not take the time of a request for idle time

A caller got a correct answer, and its connection was closed at once without "Connection: close", if the answer was written at the moment at which the read deadline passed. awaitRequest took the time since the last answer first and asked whether an answer is owed later; the answer could be written in between.

It asks in the other order: the writer sets lastWrite before the answer counts as written.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -204,8 +204,9 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return false, err
 		}
-		idle := time.Since(time.Unix(0, c.lastWrite.Load()))
-		if c.state.owed() == 0 && idle >= limits.IdleTimeout {
+		// owed is read first: the writer sets lastWrite before it reports an answer as
+		// written.
+		if c.state.owed() == 0 && time.Since(time.Unix(0, c.lastWrite.Load())) >= limits.IdleTimeout {
 			return false, nil
 		}
 	}
