forward: a stop while an answer is read is no failure of its server

An answer whose body was being buffered when the caller disconnected, or when a stop abandoned its attempt, freed its slot as failed, so that the pool took the server for a failing one. While the head is awaited this was told apart already; the same condition now holds for the body.

TestAnswerCancelledWhileItIsReadIsNoFailureOfItsServer failed before, with Failed set for both causes.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -329,8 +329,7 @@
 	if err != nil {
 		res := resultOfError(err)
 		res.serviceTime = serviceTime
-		// A caller that disconnected early is not a failure of the server.
-		server.slot.Finish(permit.Result{Failed: ctx.Err() == nil || !time.Now().Before(r.deadline)})
+		server.slot.Finish(permit.Result{Failed: r.failedByServer(ctx)})
 		return res
 	}
 	res := &result{resp: resp, serviceTime: serviceTime}
@@ -348,6 +347,13 @@
 	return res
 }
 
+// failedByServer reports whether an attempt without a complete answer counts as a
+// failure of the server: not when the caller or a stop ended it before its deadline.
+// ctx is the work context.
+func (r *request) failedByServer(ctx context.Context) bool {
+	return ctx.Err() == nil || !time.Now().Before(r.deadline)
+}
+
 // atCapacity reports whether a server that refused a request has no free
 // capacity. A server that does not report its load is assumed to have none.
 func atCapacity(resp *egress.Response) bool {
@@ -419,8 +425,8 @@
 	}
 	_ = resp.Body.Close()
 	if err != nil {
+		server.slot.Finish(permit.Result{Failed: res.outcome == Failed || r.failedByServer(ctx)})
 		res.outcome, res.reason, res.resp = AnswerLost, "answer ended early: "+err.Error(), nil
-		server.slot.Finish(permit.Result{Failed: true})
 		return
 	}
 	res.body = buf.Bytes()
