forward: wait for both requests in the test of ready answers behind others

TestStopDeliversReadyAnswerBehindUnfinishedRequest abandoned attempts when the later request was answered, which may be before the first one was sent.

--- a/forward/stop_test.go
+++ b/forward/stop_test.go
@@ -81,6 +81,8 @@
 		require.NoError(t, err)
 	}
 	<-answered
+	<-tf.received
+	<-tf.received
 	s.Drain()
 	tf.AbandonAttempts()
 
