--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -163,7 +163,7 @@
 		req, refusal, err := c.readRequest(limits)
 		if refusal != nil {
 			c.restIsBody = true
-			c.state.start(stopped, false)
+			c.state.start(stopped, 0, false)
 			c.enqueue(&pendingResponse{response: resolved(refusal), last: true})
 			return nil
 		}
@@ -204,8 +204,9 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return false, err
 		}
-		idle := time.Since(time.Unix(0, c.lastWrite.Load()))
-		if c.state.owed() == 0 && idle >= limits.IdleTimeout {
+		// owed is read first: the writer sets lastWrite before it reports an answer as
+		// written.
+		if c.state.owed() == 0 && time.Since(time.Unix(0, c.lastWrite.Load())) >= limits.IdleTimeout {
 			return false, nil
 		}
 	}
@@ -375,7 +376,7 @@
 	case c.br.Buffered() > 0:
 		next = reading
 	}
-	next = c.state.start(next, c.srv.draining.Load())
+	next = c.state.start(next, c.requestsEnd.Load(), c.srv.draining.Load())
 	if !c.enqueue(p) {
 		return false
 	}
