soak: send on raw connections, overlap stops and changes, check what a stop owes

The callers of the soak used http.Client with one request at a time, and a SIGTERM was waited for before anything else happened. Nobody checked that a request that a stopping VM had read got its response, and a process that did not exit was killed after 6 s without a word. So the soak passed although a stopping VM discarded the responses of pipelined requests.

Callers now write to connections of their own: kept ones until the process closes them, pipelined safe requests, unsafe requests one at a time, and a connection per request. Requests behind a closing response are sent again elsewhere. Stops, SIGHUPs, second SIGTERMs, rolling restarts, leaving servers and configurations overlap; the first half of a run is planned work only, then faults come besides. Some requests take 1 s to 2 s.

A run logs how its requests ended, the discarded responses and the longest stall of the test process.

The share of requests that must be served after recovery stays at 0.9. The wait limit for the first 51 requests is 30 s instead of 20 s, for larger runs. The ports of the processes lie below those of outgoing connections: a restart found its port taken.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -1,21 +1,21 @@
 package soak
 
 import (
+	"encoding/json"
 	"fmt"
-	"net"
-	"net/http"
 	"net/http/httptest"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"godwitlock.example/godwitlock/leader"
+	"godwitlock.example/godwitlock/platform"
 	"godwitlock.example/godwitlock/standin/platform/site"
 )
 
@@ -26,63 +26,56 @@
 	entryTTL          = 3 * heartbeatInterval
 )
 
-// process is the router process of one VM, which reaches the store through a proxy.
-type process struct {
-	name      string
-	dir       string
-	frontAddr string
-	store     *proxy
-	cmd       *exec.Cmd
-	log       *os.File
-	exited    chan struct{}
-}
-
 // backend is a server that VMs reach through a proxy.
 type backend struct {
 	*site.Server
 	link            *proxy
 	heartbeatPaused bool
 	heartbeat       time.Time
-	removed         bool
+	// draining servers have announced that they leave.
+	draining, removed bool
 }
 
+// serverDrainTime is the time from the announcement of a server that it leaves to its
+// end.
+const serverDrainTime = 6 * time.Second
+
 // cluster is a deployment of router processes, servers and a store on loopback.
 type cluster struct {
-	t          *testing.T
-	nodeBinary string
-	dir        string
-	store      *site.Store
-	procs      []*process
-	check      *checker
+	t      *testing.T
+	dir    string
+	store  *site.Store
+	procs  []*process
+	check  *checker
+	events timeline
+	// slowWork makes some requests take a server 1 s to 2 s.
+	slowWork atomic.Bool
 
 	mu       sync.Mutex
 	servers  []*backend
 	next     int
 	storeURL string
-	stop     chan struct{}
-	done     sync.WaitGroup
-}
-
-// freeAddrs returns n loopback addresses with free ports. It does not reserve them.
-func freeAddrs(t *testing.T, n int) []string {
-	t.Helper()
-	var out []string
-	for range n {
-		lis, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		defer func() { _ = lis.Close() }()
-		out = append(out, lis.Addr().String())
-	}
-	return out
+	// keys are the caller keys of each customer, in configuration version.
+	keys    map[string][]string
+	version int
+	stop    chan struct{}
+	done    sync.WaitGroup
 }
 
-func port(addr string) string { return addr[strings.LastIndexByte(addr, ':')+1:] }
-
-func newCluster(t *testing.T, nodeBinary string, vms, servers int, check *checker) *cluster {
+func newCluster(t *testing.T, vms, servers int, check *checker) *cluster {
 	t.Helper()
 	dir, err := os.MkdirTemp("", "soak")
 	require.NoError(t, err)
-	c := &cluster{t: t, nodeBinary: nodeBinary, dir: dir, store: site.NewStore(), check: check, stop: make(chan struct{})}
+	c := &cluster{
+		t: t, dir: dir, store: site.NewStore(), check: check, stop: make(chan struct{}),
+		keys: map[string][]string{"cust-a": {"key-a1", "key-a2"}, "cust-b": {"key-b"}},
+	}
+	for name, list := range c.keys {
+		for _, k := range list {
+			check.keyCustomers[k] = name
+		}
+	}
+	c.configure()
 	srv := httptest.NewUnstartedServer(c.store)
 	srv.Config.ErrorLog = nil
 	srv.Start()
@@ -99,46 +92,22 @@
 	return c
 }
 
-func (c *cluster) newProcess(i int) *process {
-	p := &process{name: fmt.Sprintf("vm-%d", i), dir: c.dir}
-	var err error
-	p.store, err = newProxy(c.storeURL)
-	require.NoError(c.t, err)
-	addrs := freeAddrs(c.t, 4)
-	p.frontAddr = addrs[0]
-	text := site.Settings(p.name, fmt.Sprintf("z%d", i%2), site.Addresses{
-		Front: addrs[0], Ready: addrs[1], InternalPorts: portRange(addrs[2], addrs[3]), Store: p.store.addr(),
-	})
-	require.NoError(c.t, os.WriteFile(p.settings(), []byte(text), 0o600))
-	c.start(p)
-	return p
-}
-
-func (p *process) settings() string { return filepath.Join(p.dir, p.name+".toml") }
-
-func (c *cluster) start(p *process) {
-	log, err := os.OpenFile(filepath.Join(c.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	require.NoError(c.t, err)
-	cmd := exec.Command(c.nodeBinary)
-	cmd.Env = append(os.Environ(), "GODWITLOCK_NODE_FILE="+p.settings())
-	cmd.Stdout, cmd.Stderr = log, log
-	require.NoError(c.t, cmd.Start())
-	exited := make(chan struct{})
-	go func() { _ = cmd.Wait(); close(exited) }()
-	p.cmd, p.log, p.exited = cmd, log, exited
+// configure writes the next version of the configuration.
+func (c *cluster) configure() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.version++
+	c.store.PutConfig(c.version, c.keys)
+	c.events.add("", "configuration", applyWithin+time.Second)
 }
 
-// signalAndWait sends a signal and waits until the process has exited. It kills a
-// process that has not exited after 6 s.
-func (p *process) signalAndWait(sig syscall.Signal) {
-	_ = p.cmd.Process.Signal(sig)
-	select {
-	case <-p.exited:
-	case <-time.After(6 * time.Second):
-		_ = p.cmd.Process.Kill()
-		<-p.exited
-	}
-	_ = p.log.Close()
+// withdrawKey writes the next version of the configuration without "key-a2".
+func (c *cluster) withdrawKey() {
+	c.mu.Lock()
+	c.keys["cust-a"] = []string{"key-a1"}
+	c.mu.Unlock()
+	c.check.recordWithdrawal("key-a2")
+	c.configure()
 }
 
 func (c *cluster) addServer() {
@@ -147,7 +116,7 @@
 	c.next++
 	s := &site.Server{
 		ID: fmt.Sprintf("i-%d", c.next), Service: "ledger", DataCentre: fmt.Sprintf("z%d", c.next%2),
-		StartedAtMs: time.Now().UnixMilli(), ServiceTime: 30 * time.Millisecond, Keyed: true, OnRun: c.check.recordExecution,
+		StartedAtMs: time.Now().UnixMilli(), ServiceTime: 10 * time.Millisecond, Keyed: true, OnRun: c.check.recordRun, OnRunEnd: c.check.recordRunEnd,
 		OrderDelay: c.check.orderDelay, DropResponse: c.check.loseResponse,
 	}
 	require.NoError(c.t, s.Start())
@@ -191,7 +160,7 @@
 	defer c.mu.Unlock()
 	var live []*backend
 	for _, b := range c.servers {
-		if !b.removed {
+		if !b.removed && !b.draining {
 			live = append(live, b)
 		}
 	}
@@ -200,8 +169,23 @@
 	}
 }
 
-// clearFaults ends the faults of the store, of all links and of the heartbeats.
+// leave ends a server that has announced it.
+func (c *cluster) leave(b *backend) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.removeServer(b)
+}
+
+// removeServer ends a server. The caller holds mu.
+func (c *cluster) removeServer(b *backend) {
+	b.removed = true
+	c.check.unregisterServer(b.Server)
+	b.Kill()
+}
+
+// clearFaults ends slow work and the faults of the store, of all links and of the heartbeats.
 func (c *cluster) clearFaults() {
+	c.slowWork.Store(false)
 	c.store.SetFault(nil)
 	for _, p := range c.procs {
 		p.store.setMode(forwardAll)
@@ -216,8 +200,7 @@
 
 func (c *cluster) close() {
 	for _, p := range c.procs {
-		_ = p.cmd.Process.Signal(syscall.SIGCONT)
-		p.signalAndWait(syscall.SIGKILL)
+		p.kill()
 		p.store.close()
 	}
 	close(c.stop)
@@ -240,10 +223,18 @@
 	}
 }
 
-// storeFault returns a fault that applies to all calls to the store. Only the
-// responses of calls that are not reads are lost.
-func storeFault(status int, lose bool, delay time.Duration) func(*http.Request) site.Fault {
-	return func(r *http.Request) site.Fault {
-		return site.Fault{Status: status, DropResponse: lose && r.Method != http.MethodGet, Delay: delay}
+// leader returns the process that holds the lease of the leader, or nil.
+func (c *cluster) leader() *process {
+	var lease struct{ Holder leader.Identity }
+	key := platform.New("").InternalKey("leader", "lease")
+	kind, name, _ := strings.Cut(key, "/")
+	if json.Unmarshal(c.store.Get(kind, name), &lease) != nil {
+		return nil
+	}
+	for _, p := range c.procs {
+		if p.name == string(lease.Holder.VM) {
+			return p
+		}
 	}
+	return nil
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -11,15 +11,12 @@
 import (
 	"flag"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
-	"syscall"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,9 +25,10 @@
 
 var (
 	seedFlag     = flag.Uint64("soak.seed", 0, "run with this seed only")
-	durationFlag = flag.Duration("soak.for", 8*time.Second, "duration of the fault injection")
-	vmsFlag      = flag.Int("soak.vms", 4, "number of VMs")
-	callersFlag  = flag.Int("soak.callers", 12, "number of callers")
+	durationFlag = flag.Duration("soak.for", 20*time.Second, "duration of the events: half of it planned work only, then faults besides")
+	vmsFlag      = flag.Int("soak.vms", 5, "number of VMs")
+	callersFlag  = flag.Int("soak.callers", 18, "number of callers")
+	linesFlag    = flag.Int("soak.lines", 1000, "maximum number of lines of the body of a response, about 12 bytes each")
 )
 
 // regressions maps the seeds of earlier failures to their causes.
@@ -55,9 +53,9 @@
 	os.Exit(code)
 }
 
-// Guards against violations of the guarantees under overlapping faults: processes that
-// are killed, stopped or restarted, faulty links, store faults, lost servers, delayed
-// ownership orders and configuration changes.
+// Guards against violations of the guarantees under planned work and faults that
+// overlap: processes that are stopped, killed, paused or restarted, faulty links, store
+// faults, lost servers, delayed ownership orders and configuration changes.
 func TestSoak(t *testing.T) {
 	if *seedFlag != 0 {
 		runSeed(t, *seedFlag)
@@ -74,173 +72,83 @@
 
 func runSeed(t *testing.T, seed uint64) {
 	check := newChecker(seed)
-	c := newCluster(t, nodeBinary, *vmsFlag, 6, check)
+	c := newCluster(t, *vmsFlag, max(minServers, *vmsFlag/2), check)
 	defer c.close()
-	keys := map[string][]string{"cust-a": {"key-a1", "key-a2"}, "cust-b": {"key-b"}}
-	for name, list := range keys {
-		for _, k := range list {
-			check.keyCustomers[k] = name
-		}
-	}
-	c.store.PutConfig(1, keys)
-	stop := make(chan struct{})
-	var callers sync.WaitGroup
-	for i := range *callersFlag {
-		callers.Add(1)
-		go func() { defer callers.Done(); c.runCaller(seed, i, stop) }()
-	}
-	require.Eventually(t, func() bool { return check.served.Load() > 50 }, 20*time.Second, 50*time.Millisecond,
-		"fewer than 51 requests served within 20 s, before any fault; logs in %s", c.dir)
-	c.injectFaults(rand.New(rand.NewPCG(seed, 1)), time.Now().Add(*durationFlag), keys)
+	longestStall := watchStalls()
+	stopCallers := c.startCallers(seed, *callersFlag)
+	require.Eventually(t, func() bool { return check.served.Load() > 50 }, startTime, 50*time.Millisecond,
+		"fewer than 51 requests served within %v, before any fault; logs in %s", startTime, c.dir)
+	i := &injector{c: c, rng: rand.New(rand.NewPCG(seed, 1))}
+	begin := time.Now()
+	c.slowWork.Store(true)
+	i.runUntil(begin.Add(*durationFlag/2), i.planned())
+	i.runUntil(time.Now().Add(*durationFlag/2), append(i.unplanned(), i.planned()...))
 	c.clearFaults()
 	time.Sleep(recoveryTime)
-	served, total := check.served.Load(), check.total.Load()
+	measureFrom := time.Now()
 	time.Sleep(2 * time.Second)
-	served, total = check.served.Load()-served, check.total.Load()-total
-	close(stop)
-	callers.Wait()
+	share := check.servedShare(measureFrom)
+	stopCallers()
+	ends := check.judge(&c.events)
+	require.NoError(t, check.writeRecord(&c.events, filepath.Join(c.dir, "soak.txt")))
+	t.Logf("seed %d: %d VMs, %d callers, %v of events %v; served %d; %v; served share after recovery %.3f; longest stall of the test process %v", seed, *vmsFlag, *callersFlag,
+		time.Since(begin).Round(time.Second), c.events.count(), check.served.Load(), ends, share, longestStall())
 	c.checkLogs()
-	require.Empty(t, check.recordedViolations(), "seed %d; logs in %s", seed, c.dir)
-	require.Greater(t, float64(served), 0.9*float64(total), "seed %d: served too few requests after recovery, expected more than 0.9 of all; logs in %s", seed, c.dir)
-	t.Logf("seed %d: served %d of %d requests", seed, check.served.Load(), check.total.Load())
+	for n, v := range check.recordedViolations() {
+		if n < maxPrinted {
+			t.Errorf("seed %d: %s", seed, v)
+		}
+	}
+	require.False(t, t.Failed(), "seed %d: logs in %s", seed, c.dir)
+	require.Greater(t, share, 0.9, "seed %d: share of requests served after recovery; logs in %s", seed, c.dir)
 	_ = os.RemoveAll(c.dir)
 }
 
-// recoveryTime is how long requests may fail after the faults have ended. It covers a
-// leader's lease, the hold time of a grant and the maximum age of the configuration.
-const recoveryTime = 11 * time.Second
+const (
+	// maxPrinted is the number of violations that are printed. File soak.txt in the
+	// directory of the logs has all.
+	maxPrinted = 10
+	// startTime bounds the time until the first requests are served.
+	startTime = 30 * time.Second
+	// recoveryTime is how long requests may fail after the faults have ended. It
+	// covers a leader's lease, the hold time of a grant and the maximum age of the
+	// configuration.
+	recoveryTime = 11 * time.Second
+	// minServers is the number of servers of small runs.
+	minServers = 18
+)
 
-// runCaller sends requests one at a time until stop is closed.
-func (c *cluster) runCaller(seed uint64, caller int, stop chan struct{}) {
-	rng := rand.New(rand.NewPCG(seed, uint64(1000+caller)))
-	client := &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: caller%3 == 0}}
-	for n := 0; ; n++ {
-		select {
-		case <-stop:
-			return
-		default:
-		}
-		id := fmt.Sprintf("r-%d-%d", caller, n)
-		key := []string{"key-a1", "key-a2", "key-b"}[rng.IntN(3)]
-		unsafe := rng.IntN(2) == 0
-		c.check.recordSent(id, key, unsafe)
-		frontAddr := c.procs[rng.IntN(len(c.procs))].frontAddr
-		ok := c.send(client, frontAddr, id, key, unsafe, rng.IntN(1<<16))
-		_, withdrawn := c.check.withdrawalTime(key)
-		if !withdrawn {
-			c.check.total.Add(1)
-			if ok {
-				c.check.served.Add(1)
+// stallTick is how often the test process checks that it gets processor time.
+const stallTick = 10 * time.Millisecond
+
+// watchStalls returns a function that returns the longest time that this process did
+// not run when it should have since the call. It tells how busy the machine was.
+func watchStalls() (longest func() time.Duration) {
+	var stall atomic.Int64
+	stop := make(chan struct{})
+	go func() {
+		for last := time.Now(); ; last = time.Now() {
+			select {
+			case <-stop:
+				return
+			case <-time.After(stallTick):
 			}
+			stall.Store(max(stall.Load(), int64(time.Since(last)-stallTick)))
 		}
-		time.Sleep(time.Duration(5+rng.IntN(30)) * time.Millisecond)
+	}()
+	return func() time.Duration {
+		close(stop)
+		return time.Duration(stall.Load()).Round(time.Millisecond)
 	}
 }
 
-func (c *checker) withdrawalTime(key string) (time.Time, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	at, ok := c.withdrawnAt[key]
-	return at, ok
-}
-
-func (c *cluster) send(client *http.Client, frontAddr, id, key string, unsafe bool, shard int) bool {
-	method, path, body := http.MethodGet, "/read/x", io.Reader(nil)
-	if unsafe {
-		method, path, body = http.MethodPost, "/write/x", strings.NewReader("order "+id)
-	}
-	req, err := http.NewRequest(method, "http://"+frontAddr+path, body)
-	if err != nil {
-		panic(err)
-	}
-	// Without GetBody, the transport of net/http does not resend a request body.
-	req.GetBody = nil
-	req.Host = "h"
-	req.Header.Set("Request-Id", id)
-	req.Header.Set("Deadline-Ms", "1900")
-	req.Header.Set("Api-Key", key)
-	req.Header.Set("Shard-Key", fmt.Sprint(shard))
-	resp, err := client.Do(req)
-	if err != nil {
-		c.check.recordResponse(id, 0, "", "")
-		return false
-	}
-	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
-	if err != nil {
-		c.check.recordResponse(id, 0, "", "")
-		return false
-	}
-	c.check.recordResponse(id, resp.StatusCode, resp.Header.Get("Response-Seal"), string(data))
-	return resp.StatusCode == http.StatusOK
-}
-
-// injectFaults injects random faults until the given time and waits until the last
-// one has ended. Several faults may be active at once.
-func (c *cluster) injectFaults(rng *rand.Rand, until time.Time, keys map[string][]string) {
-	version := 1
-	var pending sync.WaitGroup
-	afterDelay := func(f func()) {
-		pending.Add(1)
-		after := time.Duration(200+rng.IntN(2500)) * time.Millisecond
-		go func() { defer pending.Done(); time.Sleep(after); f() }()
-	}
-	for time.Now().Before(until) {
-		p := c.procs[rng.IntN(len(c.procs))]
-		pick, m := rng.IntN(100), []mode{delayBlocks, dropAll, dropResponses, resetConns}[rng.IntN(4)]
-		switch rng.IntN(13) {
-		case 0:
-			p.signalAndWait(syscall.SIGKILL)
-			c.start(p)
-		case 1:
-			p.signalAndWait(syscall.SIGTERM)
-			c.start(p)
-		case 2:
-			cmd := p.cmd
-			_ = cmd.Process.Signal(syscall.SIGSTOP)
-			afterDelay(func() { _ = cmd.Process.Signal(syscall.SIGCONT) })
-		case 12:
-			_ = p.cmd.Process.Signal(syscall.SIGHUP)
-		case 3, 4:
-			p.store.setMode(m)
-			afterDelay(func() { p.store.setMode(forwardAll) })
-		case 5:
-			c.store.SetFault(storeFault([]int{0, 503, 429, 0}[pick%4], pick%4 == 0, time.Duration(pick%4)*40*time.Millisecond))
-			afterDelay(func() { c.store.SetFault(nil) })
-		case 6:
-			c.store.Compact()
-		case 7:
-			c.pick(pick, func(b *backend) {
-				b.link.setMode(m)
-				afterDelay(func() { b.link.setMode(forwardAll) })
-			})
-		case 8:
-			c.pick(pick, func(b *backend) {
-				b.heartbeatPaused = true
-				afterDelay(func() { c.mu.Lock(); b.heartbeatPaused = false; c.mu.Unlock() })
-			})
-		case 9:
-			c.pick(pick, func(b *backend) {
-				b.removed = true
-				c.check.unregisterServer(b.Server)
-				b.Kill()
-			})
-			c.addServer()
-		case 10:
-			c.check.delayOrders.Store(true)
-			c.check.loseResponses.Store(true)
-			afterDelay(func() { c.check.delayOrders.Store(false); c.check.loseResponses.Store(false) })
-		case 11:
-			version++
-			if version == 3 {
-				keys["cust-a"] = []string{"key-a1"}
-				c.store.PutConfig(version, keys)
-				c.check.recordWithdrawal("key-a2")
-				continue
-			}
-			c.store.PutConfig(version, keys)
-		}
-		time.Sleep(time.Duration(100+rng.IntN(900)) * time.Millisecond)
+// startCallers starts the callers and returns a function that stops them and waits
+// until they have ended.
+func (c *cluster) startCallers(seed uint64, n int) (stop func()) {
+	done := make(chan struct{})
+	var callers sync.WaitGroup
+	for i := range n {
+		callers.Go(newCaller(c, seed, i, done).run)
 	}
-	pending.Wait()
+	return func() { close(done); callers.Wait() }
 }
--- a/standin/platform/site/server.go
+++ b/standin/platform/site/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -37,8 +38,11 @@
 	ServiceTime time.Duration
 	// Keyed makes the server run only requests for keys that it holds.
 	Keyed bool
-	// OnRun, if set, is called at the start of each run.
-	OnRun func(Run)
+	// OnRun, if set, is called at the start of each run. OnRunEnd, if set, is
+	// called at its end: finished is false if the connection was closed
+	// before the response was ready.
+	OnRun    func(Run)
+	OnRunEnd func(r Run, finished bool)
 	// OrderDelay, if set, returns the delay after which a grant or release
 	// is applied without a response. For 0, it is applied and answered at
 	// once.
@@ -59,6 +63,13 @@
 // Slots is the number of requests that each server runs at once.
 const Slots = 3
 
+// Request headers by which a caller selects how long a run takes beyond
+// ServiceTime, in milliseconds, and how many lines the body of the response has.
+const (
+	HeaderWorkMS    = "Work-Ms"
+	HeaderBodyLines = "Body-Lines"
+)
+
 // Start starts the server on a free loopback port.
 func (s *Server) Start() error {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
@@ -190,7 +201,7 @@
 	}
 	s.delayOrder(apply)
 	apply()
-	// Respond only after ServiceTime, when requests in flight have ended.
+	// Respond only after ServiceTime, when the short requests in flight have ended.
 	time.Sleep(s.ServiceTime)
 	w.Header().Set("Handover", fmt.Sprintf("%s-%d", s.ID, o.From))
 }
@@ -226,14 +237,43 @@
 		return
 	}
 	defer func() { <-s.slots }()
+	run := Run{Server: s.ID, Request: id, Customer: r.Header.Get("Tenant"), Key: key, Method: r.Method, At: time.Now()}
 	if s.OnRun != nil {
-		s.OnRun(Run{Server: s.ID, Request: id, Customer: r.Header.Get("Tenant"), Key: key, Method: r.Method, At: time.Now()})
+		s.OnRun(run)
 	}
-	time.Sleep(s.ServiceTime)
-	if s.DropResponse != nil && s.DropResponse() {
+	finished := s.work(r)
+	if s.OnRunEnd != nil {
+		s.OnRunEnd(run, finished)
+	}
+	if !finished || s.DropResponse != nil && s.DropResponse() {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Response-Seal", s.ID+"."+id)
 	w.Header().Set("Backend-Load", fmt.Sprintf("%d,0,%d", len(s.slots), Slots))
-	_, _ = io.WriteString(w, s.ID+" "+id)
+	lines, _ := strconv.Atoi(r.Header.Get(HeaderBodyLines))
+	_, _ = io.WriteString(w, Body(s.ID, id, lines))
+}
+
+// work takes as long as the request asks for. It returns false as soon as the
+// connection of the request is closed.
+func (s *Server) work(r *http.Request) bool {
+	extra, _ := strconv.Atoi(r.Header.Get(HeaderWorkMS))
+	timer := time.NewTimer(s.ServiceTime + time.Duration(extra)*time.Millisecond)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// Body returns the body of the response of a server to a request that asked for
+// the given number of lines; 0 is one line without a line break.
+func Body(server, request string, lines int) string {
+	line := server + " " + request
+	if lines == 0 {
+		return line
+	}
+	return strings.Repeat(line+"\n", lines)
 }
--- a/standin/platform/site/site.go
+++ b/standin/platform/site/site.go
@@ -11,13 +11,20 @@
 	Store         string
 }
 
+// GraceS is the time in seconds between SIGTERM and SIGKILL, and RouteTimeoutS is
+// the time after which a request must be answered.
+const (
+	GraceS        = 4
+	RouteTimeoutS = 2.5
+)
+
 // Settings returns the content of the settings file of a VM.
 func Settings(name, dataCentre string, p Addresses) string {
 	return fmt.Sprintf(`node = %q
 ip = "127.0.0.1"
 zone = %q
 internalPorts = [%s, %s]
-bounds = ["revokeS=5","graceS=4","drainS=2","maxHoldS=10","retryRatio=0.2","retrySlack=20","quotaWindowS=5"]
+bounds = ["revokeS=5","graceS=%d","drainS=2","maxHoldS=10","retryRatio=0.2","retrySlack=20","quotaWindowS=5"]
 [listen]
 front = %q
 ready = %q
@@ -25,7 +32,7 @@
 cpuShare = 0.5
 [platform]
 addr = %q
-`, name, dataCentre, p.InternalPorts[0], p.InternalPorts[1], p.Front, p.Ready, p.Store)
+`, name, dataCentre, p.InternalPorts[0], p.InternalPorts[1], GraceS, p.Front, p.Ready, p.Store)
 }
 
 // PutConfig writes a configuration with one keyed service, "ledger", a route
@@ -38,7 +45,7 @@
 	}
 	route := func(name, prefix, kind string) map[string]any {
 		return map[string]any{"name": name, "host": "h", "pathPrefix": prefix, "kind": kind,
-			"timeoutS": 1.5, "sloS": 0.5, "priority": 1, "service": "ledger", "attempts": 2}
+			"timeoutS": RouteTimeoutS, "sloS": 0.5, "priority": 1, "service": "ledger", "attempts": 2}
 	}
 	s.Put("config", "main", map[string]any{
 		"version":  version,
