soak: do not count the exit delay of the race detector as part of a stop

A program built with -race sleeps for 1 s before it exits (atexit_sleep_ms). The processes now run without that sleep; the check is the same.

--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -105,7 +105,8 @@
 	}
 	defer func() { _ = log.Close() }()
 	cmd, exited := exec.Command(nodeBinary), make(chan struct{})
-	cmd.Env = append(os.Environ(), "GODWITLOCK_NODE_FILE="+p.settings())
+	// The race detector would delay each exit by 1 s.
+	cmd.Env = append(os.Environ(), "GODWITLOCK_NODE_FILE="+p.settings(), "GORACE=atexit_sleep_ms=0")
 	cmd.Stdout, cmd.Stderr = log, log
 	p.mu.Lock()
 	defer p.mu.Unlock()
