forward: look up a service's servers only for requests without a usable owner

awaitOwner looked up the usable servers of the service for every keyed request, before it knew whether the owner of the key is usable. Only a request that would wait needs the answer: the check now follows the return of a usable owner.

TestRequestIsRefusedAtOnceWithoutUsableServers covers the refusals, unchanged.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -261,13 +261,13 @@
 		if ok && rng.State == keyrange.Orphaned {
 			return "", nil, &refusal{errkind.NoOwner, f.failureRetryAfter(r), "key has no owner: its last owner does not answer, and the hold of that owner has not expired"}
 		}
-		if len(snap.ServersOf(r.service.Name)) == 0 {
-			return "", nil, &refusal{errkind.NoOwner, f.failureRetryAfter(r), "service has no usable server"}
-		}
 		usable := ok && rng.State == keyrange.Owned && snap.Usable(rng.Server) != nil
 		if usable && (!newOwnerOnly || rng.Server != lastTried) {
 			return rng.Server, snap, nil
 		}
+		if len(snap.ServersOf(r.service.Name)) == 0 {
+			return "", nil, &refusal{errkind.NoOwner, f.failureRetryAfter(r), "service has no usable server"}
+		}
 		if first {
 			first = false
 			f.event("await_owner", r).Str("server", string(rng.Server)).Uint8("state", uint8(rng.State)).
