--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -59,9 +59,9 @@
 	defer stopWaiting(errFinished)
 	defer context.AfterFunc(workCtx, func() { stopWaiting(context.Cause(workCtx)) })()
 	defer context.AfterFunc(f.stopCtx, func() { stopWaiting(ErrStopping) })()
-	var newOwnerWait time.Duration
+	newOwnerOnly := false
 	for {
-		server, ref := f.acquireServer(waitCtx, r, newOwnerWait)
+		server, ref := f.acquireServer(waitCtx, r, newOwnerOnly)
 		if ref != nil {
 			cancel()
 			if f.stopCtx.Err() != nil {
@@ -89,10 +89,7 @@
 			return f.deliver(workCtx, r, server, res, cancel), true
 		case Retry, AwaitOwner:
 			res.discard()
-			newOwnerWait = 0
-			if action == AwaitOwner {
-				newOwnerWait = res.newOwnerWait(r.attempts.unsent)
-			}
+			newOwnerOnly = action == AwaitOwner
 			continue
 		}
 		res.discard()
@@ -142,14 +139,15 @@
 }
 
 // acquireServer finds the server for an attempt and waits for a slot there.
-// For newOwnerWait it waits for an owner other than the last one tried. When the
-// key gets another owner during the wait for a slot, it continues with that owner.
-func (f *Forwarder) acquireServer(ctx context.Context, r *request, newOwnerWait time.Duration) (grantedServer, *refusal) {
+// With newOwnerOnly it waits for an owner other than the last one tried. When
+// the key gets another owner during the wait for a slot, it continues with that
+// owner.
+func (f *Forwarder) acquireServer(ctx context.Context, r *request, newOwnerOnly bool) (grantedServer, *refusal) {
 	if !r.service.Keyed {
 		return f.acquireSlot(ctx, f.View.Snapshot(), r, view.PoolOf(r.service, ""))
 	}
 	for {
-		server, snap, ref := f.awaitOwner(ctx, r, newOwnerWait)
+		server, snap, ref := f.awaitOwner(ctx, r, newOwnerOnly)
 		if ref != nil {
 			return grantedServer{}, ref
 		}
@@ -241,9 +239,9 @@
 // awaitOwner returns the server that owns the request's key, and the snapshot
 // in which it does. While the key is being handed over, it waits up to
 // maxOwnerWait and at most half of the time left, unless the service has no
-// usable server. For newOwnerWait it also waits for an owner other than the last
-// one tried, and then returns that one if it still owns the key.
-func (f *Forwarder) awaitOwner(ctx context.Context, r *request, newOwnerWait time.Duration) (topo.ServerID, *view.Snapshot, *refusal) {
+// usable server. With newOwnerOnly it also waits for an owner other than the last
+// one tried, but returns that one when the wait ends.
+func (f *Forwarder) awaitOwner(ctx context.Context, r *request, newOwnerOnly bool) (topo.ServerID, *view.Snapshot, *refusal) {
 	if !r.HasKey {
 		return "", nil, &refusal{errkind.BadRequest, 0, "request has no key"}
 	}
@@ -251,11 +249,6 @@
 	limit := min(maxOwnerWait, time.Until(r.deadline)/2)
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
-	newOwnerOnly := newOwnerWait > 0
-	var newOwnerTimeout <-chan time.Time
-	if newOwnerOnly {
-		newOwnerTimeout = time.After(min(newOwnerWait, limit))
-	}
 	first := true
 	var lastTried topo.ServerID
 	if n := len(r.triedServers); n > 0 {
@@ -282,8 +275,6 @@
 		}
 		select {
 		case <-changed:
-		case <-newOwnerTimeout:
-			newOwnerOnly = false
 		case <-timer.C:
 			if usable {
 				return rng.Server, snap, nil
@@ -311,18 +302,6 @@
 	body        []byte
 	reason      string
 	serviceTime time.Duration
-	// connRefused says that the server refused the connection.
-	connRefused bool
-}
-
-// newOwnerWait returns how long to wait for another owner after an attempt that
-// did not reach the owner of the key. unsent is the number of attempts that
-// reached no server.
-func (r *result) newOwnerWait(unsent int) time.Duration {
-	if r.connRefused {
-		return time.Duration(unsent) * refusedConnWait
-	}
-	return maxOwnerWait
 }
 
 func (r *result) discard() {
@@ -371,7 +350,7 @@
 func resultOfError(err error) *result {
 	var fail *egress.Failure
 	if errors.As(err, &fail) && !fail.MayHaveRun {
-		return &result{outcome: NotSent, reason: err.Error(), connRefused: fail.Refused}
+		return &result{outcome: NotSent, reason: err.Error()}
 	}
 	return &result{outcome: AnswerLost, reason: err.Error()}
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -105,10 +105,6 @@
 	// maxOwnerWait bounds the wait for the next owner of a key. A handover
 	// lasts until the requests in flight for its keys have ended.
 	maxOwnerWait = 600 * time.Millisecond
-	// refusedConnWait is the wait for another owner after the first refused
-	// connection of a request. A server with a long queue refuses connections
-	// and keeps its keys, so most requests succeed there shortly after.
-	refusedConnWait = 100 * time.Millisecond
 	// slotWaitShare is the fraction of the time left until the deadline for
 	// which a request waits for a slot.
 	slotWaitShare = 0.85
