forward: test abandonment with an answer that is still arriving

TestAbandoningAttemptsLeavesStreamedAnswers had an answer that was complete before attempts were abandoned, so that it passed without the line that exempts streams. Now the server sends the end of the answer only after another request shows that attempts were abandoned.

--- a/forward/stop_test.go
+++ b/forward/stop_test.go
@@ -6,11 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"godwitlock.example/godwitlock/directory"
 	"godwitlock.example/godwitlock/ingress"
 )
 
@@ -45,16 +47,48 @@
 
 // Guards against a stop that cuts an answer on its way to the caller.
 func TestAbandoningAttemptsLeavesStreamedAnswers(t *testing.T) {
-	body := strings.Repeat("x", maxBufferedAnswerBytes+1)
-	tf := newTestForwarder(t, func(id string) string {
-		return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nSeal: s\r\nContent-Length: 16385\r\n\r\n" + body
-	})
+	tf := newTestForwarder(t, stuckServer(t))
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = lis.Close() })
+	begun, rest := strings.Repeat("x", maxBufferedAnswerBytes), strings.Repeat("y", 100)
+	resume := make(chan struct{})
+	go func() {
+		nc, err := lis.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = nc.Close() }()
+		r, err := http.ReadRequest(bufio.NewReader(nc))
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nRequest-Id: "+r.Header.Get("Request-Id")+
+			"\r\nSeal: s\r\nContent-Length: "+strconv.Itoa(len(begun+rest))+"\r\n\r\n"+begun)
+		<-resume
+		_, _ = io.WriteString(nc, rest)
+	}()
+	putServer := func(addr string, rev int64) {
+		tf.view.Directory(func(d *directory.Directory) {
+			d.Put(directory.Server{ID: "s1", Service: "s", Addr: addr, Slots: 1, State: directory.Ready, Rev: rev})
+		})
+	}
+	stuckAddr := tf.view.Snapshot().Usable("s1").Addr
+	putServer(lis.Addr().String(), 2)
 	ans := tf.Serve(context.Background(), newRequest("/r/1"))
 	require.NotNil(t, ans.Stream)
-	tf.AbandonAttempts()
+
+	// The answer to this request shows that attempts are abandoned.
+	putServer(stuckAddr, 3)
+	stuck := newRequest("/w/1")
+	stuck.ID = "stuck"
+	stuck.Header.Set("Request-Id", stuck.ID)
+	go func() { <-tf.received; tf.AbandonAttempts() }()
+	require.Equal(t, http.StatusBadGateway, tf.Serve(context.Background(), stuck).Status)
+	close(resume)
 	got, err := io.ReadAll(ans.Stream)
 	require.NoError(t, err)
-	require.Equal(t, body, string(got))
+	require.Equal(t, begun+rest, string(got))
 }
 
 // Guards against a stop that throws away an answer which is ready and waits behind
