node: test that a stop answers requests at servers

TestStopAbandonsAttemptsBeforeItEnds checked only the log line, and passed when the call of AbandonAttempts was removed from stop: no test of node guarded the answer itself. TestStopAnswersRequestsAtServersBeforeItEnds replaces it: the same checks of the log, and a request at a silent server must get its 502. Without the call it fails.

--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -12,12 +14,19 @@
 	"google.golang.org/grpc"
 
 	"godwitlock.example/godwitlock/declog"
+	"godwitlock.example/godwitlock/directory"
+	"godwitlock.example/godwitlock/egress"
 	"godwitlock.example/godwitlock/forward"
 	"godwitlock.example/godwitlock/ingress"
+	"godwitlock.example/godwitlock/keyrange"
 	"godwitlock.example/godwitlock/leader"
 	"godwitlock.example/godwitlock/metric"
 	"godwitlock.example/godwitlock/peer"
+	"godwitlock.example/godwitlock/permit"
+	"godwitlock.example/godwitlock/routemap"
 	"godwitlock.example/godwitlock/store/memstore"
+	"godwitlock.example/godwitlock/topo"
+	"godwitlock.example/godwitlock/view"
 )
 
 // stoppableNode returns a node that answers callers with h, and its log.
@@ -85,14 +94,62 @@
 	require.Equal(t, 0.0, logLines(t, n.log, out, "stopping")[0]["answers_dropped"])
 }
 
+// grantAll grants every request a slot of server s1.
+type grantAll struct{}
+
+func (g grantAll) Acquire(context.Context, *view.Snapshot, string, permit.Request) (forward.Slot, permit.Decision) {
+	return g, permit.Decision{Verdict: permit.Granted, Server: "s1"}
+}
+
+func (grantAll) Finish(permit.Result) {}
+
+// silentServer returns the address of a server that never answers, and a channel
+// that receives a value for each request.
+func silentServer(t *testing.T) (addr string, received chan struct{}) {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = lis.Close() })
+	received = make(chan struct{}, 1)
+	go func() {
+		nc, err := lis.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = nc.Close() }()
+		br := bufio.NewReader(nc)
+		if _, err := http.ReadRequest(br); err != nil {
+			return
+		}
+		received <- struct{}{}
+		_, _ = br.ReadByte()
+	}()
+	return lis.Addr().String(), received
+}
+
 // Guards against a stop that ends before it has answered the requests at servers.
-func TestStopAbandonsAttemptsBeforeItEnds(t *testing.T) {
-	started, release := make(chan struct{}), make(chan struct{})
-	defer close(release)
-	n, out := stoppableNode(t, func(context.Context, *ingress.Request) *ingress.Response {
-		close(started)
-		<-release
-		return &ingress.Response{Status: 200}
+func TestStopAnswersRequestsAtServersBeforeItEnds(t *testing.T) {
+	addr, received := silentServer(t)
+	var n *Node
+	n, out := stoppableNode(t, func(ctx context.Context, r *ingress.Request) *ingress.Response { return n.forward.Serve(ctx, r) })
+	v := view.New()
+	routes, err := routemap.Compile(routemap.Config{
+		Version: 1, Services: []routemap.Service{{Name: "s"}},
+		Routes: []routemap.Route{{
+			Name: "r", Host: "h", PathPrefix: "/", Kind: routemap.NonIdempotent, Timeout: 20 * time.Second, Attempts: 1, Public: true,
+			Destinations: []routemap.Destination{{Service: "s", Weight: 1}},
+		}},
+	})
+	require.NoError(t, err)
+	v.SetConfig(routes, nil, 1)
+	v.Directory(func(d *directory.Directory) {
+		d.Put(directory.Server{ID: "s1", Service: "s", Addr: addr, Slots: 1, State: directory.Ready, Rev: 1})
+	})
+	n.forward = forward.New(forward.Config{
+		View: v, Slots: grantAll{}, Stats: noStats{}, Log: n.log, Fresh: func() bool { return true },
+		Budgets: forward.NewBudgets(0.5, func() float64 { return 10 }), Egress: egress.New(egress.Headers{
+			RequestID: "Request-Id", DeadlineMS: "Deadline-Ms", Customer: "Customer", ExpectServer: "Expect-Server", NotRun: "Not-Run", Seal: "Seal",
+		}),
 	})
 	b := DefaultBounds()
 	b.StopWithin = abandonMargin + 100*time.Millisecond
@@ -100,11 +157,16 @@
 	nc, err := net.Dial("tcp", n.callerLis.Addr().String())
 	require.NoError(t, err)
 	defer func() { _ = nc.Close() }()
-	_, err = io.WriteString(nc, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	_, err = io.WriteString(nc, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
 	require.NoError(t, err)
-	<-started
+	<-received
 	n.stop(context.Background())
 
+	// Without the abandonment, the answer would be a 504 after the route's timeout.
+	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, resp.StatusCode)
+	require.True(t, resp.Close)
 	elapsed := make(map[any]float64)
 	for _, line := range logLines(t, n.log, out, "stop_step") {
 		elapsed[line["step"]], _ = line["elapsed_ms"].(float64)
@@ -113,6 +175,13 @@
 	require.Less(t, elapsed["abandon_attempts"], elapsed["close_peers"])
 }
 
+// noStats is a forward.Stats that records nothing.
+type noStats struct{}
+
+func (noStats) Arrived(topo.ServiceName, keyrange.Key) {}
+func (noStats) Completed(topo.ServerID, time.Duration) {}
+func (noStats) Answered(string, string, time.Duration) {}
+
 // Guards against cut connections that look alike whether they were idle or a
 // request was read on them.
 func TestCutConnectionsTellTheirState(t *testing.T) {
