ingress: read the rest of a refused body from the connection itself

If the rest belongs to a body, linger reads the connection and not the readers above it. Nothing else uses what it reads there: unread bytes of a body are not reported.

--- a/forward/stop_test.go
+++ b/forward/stop_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -132,3 +133,30 @@
 	require.Equal(t, http.StatusOK, resp.StatusCode)
 	require.True(t, resp.Close)
 }
+
+// Guards against a data race between the end of a connection and a handler that left
+// the body of its request half read.
+func TestAbandonedBodyIsNotReadTwice(t *testing.T) {
+	tf := newTestForwarder(t, stuckServer(t))
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	headers := ingress.Headers{RequestID: "Request-Id", DeadlineMS: "Deadline-Ms", CallerKey: "Caller-Key", Key: "Key"}
+	s := ingress.NewServer(headers, tf.Serve, func() ingress.Limits { return ingress.Limits{} })
+	go func() { _ = s.Serve(lis) }()
+	nc, err := net.Dial("tcp", lis.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = nc.Close(); _ = lis.Close() })
+	_, err = io.WriteString(nc, "POST /w/1 HTTP/1.1\r\nHost: h\r\nCaller-Key: k\r\nKey: 7\r\nRequest-Id: stuck\r\nContent-Length: 200000\r\n\r\n"+
+		strings.Repeat("x", 1000))
+	require.NoError(t, err)
+	<-tf.received
+	s.Drain()
+	tf.AbandonAttempts()
+	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, resp.StatusCode)
+	require.True(t, resp.Close)
+	for s.OpenConnections() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/ingress/linger.go
+++ b/ingress/linger.go
@@ -25,7 +25,12 @@
 		return c.awaitCloseUnread()
 	}
 	ids = c.discardRequests(c.br)
-	_, _ = io.Copy(io.Discard, c.limited)
+	rest := io.Reader(c.limited)
+	if c.restIsBody {
+		// A handler that left the body half read may still use the other readers.
+		rest = c.nc
+	}
+	_, _ = io.Copy(io.Discard, rest)
 	return ids, 0
 }
 
