--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -114,8 +114,9 @@
 }
 
 // workContext returns the context of the attempts of a request. It ends at the
-// request's deadline, and when attempts are abandoned. For a repeatable request it also ends when the caller
-// disconnects; a request that is not repeatable continues without its caller.
+// request's deadline and when AbandonAttempts is called. For a repeatable request
+// it also ends when the caller disconnects; a request that is not repeatable
+// continues without its caller.
 func (f *Forwarder) workContext(ctx context.Context, r *request) (context.Context, context.CancelFunc) {
 	if !r.attempts.Repeatable {
 		ctx = context.WithoutCancel(ctx)
--- a/forward/cause.go
+++ b/forward/cause.go
@@ -20,7 +20,7 @@
 	// ErrStreamTimeout: an answer without a caller's deadline took longer than
 	// maxStreamTime.
 	ErrStreamTimeout = errors.New("stream_timeout")
-	// ErrStopping: the VM refuses waiting requests because it stops.
+	// ErrStopping: the VM stops, and refuses waiting requests or abandons attempts.
 	ErrStopping = errors.New("vm_stopping")
 	// errOwnerChanged: the key has another owner, or none.
 	errOwnerChanged = errors.New("owner_changed")
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -60,7 +60,8 @@
 	lastRequest bool
 	// pending holds the outstanding responses in the order of the requests.
 	pending chan *pendingResponse
-	// list holds the requests of pending and the one that writeLoop answers.
+	// list holds the requests of pending and the one that writeLoop answers, for
+	// Server.Open, which cannot read the channel.
 	list outstandingList
 	// requestsEnd is the position in the received bytes after the last request
 	// that was read.
--- a/node/stop.go
+++ b/node/stop.go
@@ -10,7 +10,8 @@
 	// connections after this VM reports that it is not ready: two health checks
 	// 1 s apart, plus network latency.
 	balancerDelay = 2600 * time.Millisecond
-	// killMargin is the time before SIGKILL by which the graceful stop ends.
+	// killMargin is the time before SIGKILL by which the graceful stop ends. It
+	// covers the three steps that finalStepTimeout bounds.
 	killMargin = 350 * time.Millisecond
 	// abandonMargin is the time before SIGKILL at which requests that are still at
 	// a server are answered with an unknown outcome. The answers that wait behind
@@ -21,7 +22,7 @@
 	refuseMargin = 1500 * time.Millisecond
 	// finalStepTimeout bounds each of the steps that follow the last response.
 	// They wait for goroutines that may be blocked, such as the handshake of a
-	// peer that sends nothing. Together they take less than killMargin.
+	// peer that sends nothing.
 	finalStepTimeout = 100 * time.Millisecond
 	// stopPollInterval is how often a stopping VM checks for open connections.
 	stopPollInterval = 50 * time.Millisecond
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -109,7 +109,7 @@
 	// directory of the logs has all.
 	maxPrinted = 10
 	// startTime bounds the time until the first requests are served.
-	startTime = 30 * time.Second
+	startTime = 20 * time.Second
 	// recoveryTime is how long requests may fail after the faults have ended. It
 	// covers a leader's lease, the hold time of a grant and the maximum age of the
 	// configuration.
