--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -137,16 +137,16 @@
 	_ = p.cmd.Process.Signal(sig)
 }
 
-// hangUp sends SIGHUP unless the process may not have installed its handler yet.
+// hangUp sends SIGHUP unless the process may not have installed its handler yet: it
+// accepts no callers, and was not told to exit.
 func (p *process) hangUp() {
+	p.c.events.add(p.name, "SIGHUP", applyWithin+routeTimeout)
 	nc, err := net.Dial("tcp", p.frontAddr)
-	if err != nil && !p.restarting.Load() {
+	if err != nil {
+		p.signalInStop(syscall.SIGHUP)
 		return
 	}
-	if err == nil {
-		_ = nc.Close()
-	}
-	p.c.events.add(p.name, "SIGHUP", applyWithin+routeTimeout)
+	_ = nc.Close()
 	p.signal(syscall.SIGHUP)
 }
 
