node: let a stop wait for the connection that is being accepted

A caller whose connection was accepted as a stopping VM closed its listener lost its request: it was read, passed on, and cut when the process ended, a few milliseconds later.

Cause: the stop ended as soon as no connection was open. One that Accept has returned is not among them until Serve has registered it.

The stop now waits until Serve has returned, too. Before, TestStopAnswersConnectionAcceptedAsTheListenerCloses failed with "stop ended before the accepted connection was answered".

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -105,6 +105,9 @@
 	// not block, and must be set before Serve.
 	OnUnread func(Unread)
 
+	// serving counts the running calls of Serve.
+	serving atomic.Int32
+
 	mu    sync.Mutex
 	conns map[*conn]struct{}
 	wg    sync.WaitGroup
@@ -119,6 +122,8 @@
 // Serve accepts connections on lis until it fails or is closed, and returns the
 // error of Accept.
 func (s *Server) Serve(lis net.Listener) error {
+	s.serving.Add(1)
+	defer s.serving.Add(-1)
 	for {
 		nc, err := lis.Accept()
 		if err != nil {
@@ -162,6 +167,10 @@
 	}
 }
 
+// Accepting reports whether a call of Serve has not returned. Until then, a
+// connection that was accepted may not be among the open ones yet.
+func (s *Server) Accepting() bool { return s.serving.Load() > 0 }
+
 // OpenConnections returns the number of connections that are open, idle ones
 // included.
 func (s *Server) OpenConnections() int {
--- a/node/stop.go
+++ b/node/stop.go
@@ -66,7 +66,7 @@
 	step("close_idle")
 	n.ingress.CloseIdle()
 	step("await_connections")
-	for n.ingress.OpenConnections() > 0 && ctx.Err() == nil {
+	for (n.ingress.Accepting() || n.ingress.OpenConnections() > 0) && ctx.Err() == nil {
 		pause(ctx, stopPollInterval)
 		n.ingress.CloseIdle()
 	}
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -24,6 +25,7 @@
 	"godwitlock.example/godwitlock/peer"
 	"godwitlock.example/godwitlock/permit"
 	"godwitlock.example/godwitlock/routemap"
+	"godwitlock.example/godwitlock/standin/memnet"
 	"godwitlock.example/godwitlock/store/memstore"
 	"godwitlock.example/godwitlock/topo"
 	"godwitlock.example/godwitlock/view"
@@ -212,3 +214,66 @@
 	require.Equal(t, "closed_by_stop", lines[0]["cause"])
 	require.Equal(t, true, lines[0]["draining"])
 }
+
+// lastMinuteListener accepts one connection, after it was closed.
+type lastMinuteListener struct {
+	net.Listener
+	conn   chan net.Conn
+	closed chan struct{}
+}
+
+func (l *lastMinuteListener) Accept() (net.Conn, error) {
+	<-l.closed
+	nc, ok := <-l.conn
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return nc, nil
+}
+
+func (l *lastMinuteListener) Close() error { close(l.closed); return nil }
+
+// Guards against a stop that ends while a connection is being accepted.
+func TestStopAnswersConnectionAcceptedAsTheListenerCloses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &Node{settings: Settings{VM: "a"}, log: declog.New(io.Discard, "a"), metrics: metric.New(), grpc: grpc.NewServer(), peers: peer.NewPool(nil, nil)}
+		b := DefaultBounds()
+		n.activeBounds.Store(&b)
+		n.forward = forward.New(forward.Config{})
+		n.lease = newLeaseManager(memstore.New(), "lease", leader.Identity{VM: "a"}, func() time.Duration { return 0 }, n.log, func() bool { return false })
+		n.ingress = ingress.NewServer(ingress.Headers{}, func(context.Context, *ingress.Request) *ingress.Response {
+			return &ingress.Response{Status: 200}
+		}, func() ingress.Limits { return ingress.Limits{} })
+		lis := &lastMinuteListener{conn: make(chan net.Conn), closed: make(chan struct{})}
+		network := memnet.New()
+		var err error
+		n.callerLis = lis
+		n.readyLis, err = network.Host("a").Listen("tcp", "a:2")
+		require.NoError(t, err)
+		n.metricsLis, err = network.Host("a").Listen("tcp", "a:4")
+		require.NoError(t, err)
+		go func() { _ = n.ingress.Serve(lis) }()
+		client, server := net.Pipe()
+		answered := make(chan int, 1)
+		go func() {
+			<-lis.closed
+			time.Sleep(time.Millisecond)
+			lis.conn <- server
+			close(lis.conn)
+			_, _ = io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+			if err != nil {
+				answered <- 0
+				return
+			}
+			answered <- resp.StatusCode
+		}()
+		n.stop(t.Context())
+		select {
+		case status := <-answered:
+			require.Equal(t, 200, status)
+		default:
+			t.Fatal("stop ended before the accepted connection was answered")
+		}
+	})
+}
