egress: never match a refusal that is written once more

Cause: a server that refused without a request id and wrote that refusal once more on the kept connection was taken to have refused the next request, which ran (REFUSED, TWICE). A request that was refused with its id and sent again on the same connection matched the earlier refusal.

A connection remembers the requests that were refused or failed on it until their deadlines and carries none of them again; others still use it.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -40,6 +40,11 @@
 	Rev int64
 }
 
+// Incarnation returns which life of the server the registration describes.
+func (s *Server) Incarnation() topo.Incarnation {
+	return topo.Incarnation{Server: s.ID, StartedAtMs: s.StartedAtMs}
+}
+
 // Cold reports whether the server is still warming up at now.
 func (s *Server) Cold(now time.Time) bool {
 	return s.ColdFor > 0 && now.Before(s.SeenAt.Add(s.ColdFor))
--- a/egress/egress.go
+++ b/egress/egress.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,6 +35,9 @@
 	// ParseLoad decodes the value of the field Load. If it is nil, responses
 	// carry no load.
 	ParseLoad func(string) (Load, bool)
+	// ParseNotice decodes what a server says about itself with a response of the
+	// given status. If it is nil, servers say nothing.
+	ParseNotice func(status int, h http.Header) Notice
 	// Strip lists, in canonical form, the fields that only godwitlock may set.
 	// They are removed from callers' requests.
 	Strip []string
@@ -47,9 +51,21 @@
 	SlowdownFactor float64
 }
 
+// Notice is what a server says about itself with a response, whatever the
+// response is to. It holds until the server starts again.
+type Notice struct {
+	// Leaving reports that the server will end soon.
+	Leaving bool
+	// Pause is the time for which the server wants no requests from this VM; 0
+	// if it does not ask for a pause.
+	Pause time.Duration
+	// Invalid describes a header field that could not be decoded and was ignored.
+	Invalid string
+}
+
 // Target is one incarnation of a backend server.
 type Target struct {
-	ID       topo.ServerID
+	topo.Incarnation
 	Addr     string
 	MaxConns int
 }
@@ -136,11 +152,14 @@
 	headers Headers
 	// OnConnect, unless nil, is called for each new connection.
 	OnConnect func()
-	dialer    net.Dialer
+	// OnNotice, unless nil, is called with each notice of a server. It must not
+	// block.
+	OnNotice func(topo.Incarnation, Notice)
+	dialer   net.Dialer
 
 	mu   sync.Mutex
-	idle map[topo.ServerID][]*conn
-	open map[topo.ServerID]int
+	idle map[topo.Incarnation][]*conn
+	open map[topo.Incarnation]int
 }
 
 // New returns a client that uses the header fields h. It opens no connection
@@ -149,71 +168,76 @@
 	return &Client{
 		headers: h,
 		dialer:  net.Dialer{Timeout: connectTimeout, KeepAlive: -1},
-		idle:    make(map[topo.ServerID][]*conn),
-		open:    make(map[topo.ServerID]int),
+		idle:    make(map[topo.Incarnation][]*conn),
+		open:    make(map[topo.Incarnation]int),
 	}
 }
 
 // Do sends req to target once, without retries. The error is a *Failure.
 func (c *Client) Do(ctx context.Context, target Target, req *Request) (*Response, error) {
-	cn, err := c.acquire(ctx, target)
+	cn, err := c.acquire(ctx, target, req.ID)
 	if err != nil {
-		return nil, &Failure{Refused: isConnectionRefused(err), Cause: errors.Annotatef(err, "connection to server %s", target.ID)}
+		return nil, &Failure{Refused: isConnectionRefused(err), Cause: errors.Annotatef(err, "connection to server %s", target.Server)}
 	}
 	resp, err := cn.exchange(ctx, &c.headers, target, req)
 	if err == nil {
 		return resp, nil
 	}
-	f := &Failure{MayHaveRun: cn.writeStarted, Cause: errors.Annotatef(err, "request to server %s", target.ID)}
+	f := &Failure{MayHaveRun: cn.writeStarted, Cause: errors.Annotatef(err, "request to server %s", target.Server)}
 	cn.close()
 	return nil, f
 }
 
-// acquire returns an idle connection to target or opens a new one, up to
-// MaxConns.
-func (c *Client) acquire(ctx context.Context, target Target) (*conn, error) {
-	if cn := c.takeIdle(target); cn != nil {
+// acquire returns an idle connection to target on which the request may be sent, or
+// opens a new one, up to MaxConns.
+func (c *Client) acquire(ctx context.Context, target Target, request string) (*conn, error) {
+	if cn := c.takeIdle(target.Incarnation, request); cn != nil {
 		return cn, nil
 	}
 	c.mu.Lock()
-	if target.MaxConns > 0 && c.open[target.ID] >= target.MaxConns {
+	if target.MaxConns > 0 && c.open[target.Incarnation] >= target.MaxConns {
 		c.mu.Unlock()
 		return nil, errors.New("connection limit reached")
 	}
-	c.open[target.ID]++
+	c.open[target.Incarnation]++
 	c.mu.Unlock()
 	nc, err := c.dialer.DialContext(ctx, "tcp", target.Addr)
 	if err != nil {
-		c.connClosed(target.ID)
+		c.connClosed(target.Incarnation)
 		return nil, err
 	}
 	if c.OnConnect != nil {
 		c.OnConnect()
 	}
-	return newConn(c, target.ID, nc), nil
+	return newConn(c, target.Incarnation, nc), nil
 }
 
 // takeIdle removes and returns the most recently used idle connection that is
-// still usable, or nil.
-func (c *Client) takeIdle(target Target) *conn {
+// still usable and on which the request was not refused or failed before, or nil.
+func (c *Client) takeIdle(id topo.Incarnation, request string) *conn {
 	now := time.Now()
 	for {
-		c.mu.Lock()
-		list := c.idle[target.ID]
-		if len(list) == 0 {
-			c.mu.Unlock()
-			return nil
-		}
-		cn := list[len(list)-1]
-		c.idle[target.ID] = list[:len(list)-1]
-		c.mu.Unlock()
-		if now.Before(cn.idleUntil) && cn.healthy() {
+		cn := c.removeIdle(id, request)
+		if cn == nil || now.Before(cn.idleUntil) && cn.healthy() {
 			return cn
 		}
 		cn.close()
 	}
 }
 
+func (c *Client) removeIdle(id topo.Incarnation, request string) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[id]
+	for i := len(list) - 1; i >= 0; i-- {
+		if cn := list[i]; !cn.wasUnsuccessful(request) {
+			c.idle[id] = slices.Delete(list, i, i+1)
+			return cn
+		}
+	}
+	return nil
+}
+
 // putIdle adds a connection to the idle ones, or closes it when there are
 // maxIdlePerServer of them.
 func (c *Client) putIdle(cn *conn) {
@@ -226,7 +250,7 @@
 	c.idle[cn.server] = append(c.idle[cn.server], cn)
 }
 
-func (c *Client) connClosed(id topo.ServerID) {
+func (c *Client) connClosed(id topo.Incarnation) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.open[id]--; c.open[id] <= 0 {
--- a/egress/egress_test.go
+++ b/egress/egress_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
+
+	"godwitlock.example/godwitlock/topo"
 )
 
 var testHeaders = Headers{
@@ -19,6 +21,8 @@
 	NotRun: "Not-Run", Seal: "Seal", Strip: []string{"Customer", "Deadline-Ms"},
 }
 
+var testIncarnation = topo.Incarnation{Server: "s1"}
+
 // startServer starts a server that handles each connection with f.
 func startServer(t *testing.T, f func(nc net.Conn, br *bufio.Reader)) Target {
 	t.Helper()
@@ -37,7 +41,7 @@
 			}()
 		}
 	}()
-	return Target{ID: "s1", Addr: lis.Addr().String()}
+	return Target{Incarnation: testIncarnation, Addr: lis.Addr().String()}
 }
 
 func newGetRequest(id string) *Request {
@@ -160,7 +164,7 @@
 	require.NoError(t, err)
 	addr := lis.Addr().String()
 	require.NoError(t, lis.Close())
-	_, err = New(testHeaders).Do(context.Background(), Target{ID: "s", Addr: addr}, newGetRequest("a"))
+	_, err = New(testHeaders).Do(context.Background(), Target{Incarnation: topo.Incarnation{Server: "s"}, Addr: addr}, newGetRequest("a"))
 	var f *Failure
 	require.True(t, errors.As(err, &f))
 	require.False(t, f.MayHaveRun)
--- a/egress/endless_test.go
+++ b/egress/endless_test.go
@@ -39,11 +39,11 @@
 	nc, peer := net.Pipe()
 	go s.serve(peer)
 	c := New(testHeaders)
-	cn := newConn(c, "s1", nc)
+	cn := newConn(c, testIncarnation, nc)
 	cn.idleUntil = time.Now().Add(time.Hour)
-	c.open["s1"], c.idle["s1"] = 1, []*conn{cn}
+	c.open[testIncarnation], c.idle[testIncarnation] = 1, []*conn{cn}
 	t.Cleanup(func() { _ = peer.Close() })
-	return c, Target{ID: "s1"}
+	return c, Target{Incarnation: testIncarnation}
 }
 
 func (s *endlessServer) serve(nc net.Conn) {
@@ -72,7 +72,7 @@
 	<-s.done
 	require.LessOrEqual(t, s.accepted, maxBytes, "bytes accepted from the server")
 	require.True(t, s.closed, "connection of the server is closed")
-	require.Empty(t, c.idle["s1"])
+	require.Empty(t, c.idle[testIncarnation])
 	require.Empty(t, c.open)
 }
 
@@ -260,14 +260,14 @@
 			_, _ = io.WriteString(peer, okResponse("b", "Content-Length: 2\r\n", "ok"))
 		}()
 		c := New(testHeaders)
-		cn := newConn(c, "s1", nc)
+		cn := newConn(c, testIncarnation, nc)
 		cn.idleUntil = time.Now().Add(time.Hour)
-		c.open["s1"], c.idle["s1"] = 1, []*conn{cn}
-		resp, err := c.Do(t.Context(), Target{ID: "s1"}, newGetRequest("a"))
+		c.open[testIncarnation], c.idle[testIncarnation] = 1, []*conn{cn}
+		resp, err := c.Do(t.Context(), Target{Incarnation: testIncarnation}, newGetRequest("a"))
 		require.NoError(t, err)
 		require.NoError(t, resp.Body.Close())
-		require.Len(t, c.idle["s1"], 1)
-		resp, err = c.Do(t.Context(), Target{ID: "s1"}, newGetRequest("b"))
+		require.Len(t, c.idle[testIncarnation], 1)
+		resp, err = c.Do(t.Context(), Target{Incarnation: testIncarnation}, newGetRequest("b"))
 		require.NoError(t, err)
 		require.Equal(t, "ok", readAll(t, resp))
 		<-served
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -325,7 +325,7 @@
 func (f *Forwarder) sendOnce(ctx context.Context, r *request, server grantedServer) *result {
 	start := time.Now()
 	r.Progress.SetSent((*string)(&server.ID), start)
-	resp, err := f.Egress.Do(ctx, egress.Target{ID: server.ID, Addr: server.Addr, MaxConns: r.service.MaxConns}, r.serverRequest())
+	resp, err := f.Egress.Do(ctx, egress.Target{Incarnation: server.Incarnation(), Addr: server.Addr, MaxConns: r.service.MaxConns}, r.serverRequest())
 	serviceTime := time.Since(start)
 	if err != nil {
 		res := resultOfError(err)
--- a/topo/topo.go
+++ b/topo/topo.go
@@ -26,6 +26,14 @@
 // ServerID identifies a backend server uniquely within an environment.
 type ServerID string
 
+// Incarnation identifies one life of a backend server: a server that starts again
+// under the same id is another one.
+type Incarnation struct {
+	Server ServerID
+	// StartedAtMs is the Unix time of the start in milliseconds.
+	StartedAtMs int64
+}
+
 // ServiceName names a service, a set of backend servers.
 type ServiceName string
 
