ingress, broker: unframed answers stay unframed; slot numbers start at random

Cause: an answer without a length, whose end only the close of the server's connection marks, got a Content-Length or a last chunk on its way to the caller, although nothing proved that it was whole. A home VM that restarted numbered its slots from 1 again, so a release of a slot of the earlier process freed a slot in use, and more requests were in flight than the server had slots.

Change: such an answer is passed on without a length and ends with the caller's connection, with a reset if it broke off; behind it nothing is thrown away: if other answers are owed it is framed as before. Slot numbers start at a random number. ingress/conn.go is split by duty.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -32,9 +32,11 @@
 	// wake tells Run that a request was queued.
 	wake chan struct{}
 
-	mu     sync.Mutex
-	rng    *rand.Rand
-	pools  map[string]*pool
+	mu    sync.Mutex
+	rng   *rand.Rand
+	pools map[string]*pool
+	// lastID starts at a random number. A VM may release a slot that an earlier
+	// process on this VM granted; its number must not be that of another slot.
 	lastID uint64
 }
 
@@ -51,7 +53,7 @@
 // greater than 1 for a broker that stands in for home VMs that do not respond.
 func New(servers Servers, divisor int, rng *rand.Rand) *Broker {
 	return &Broker{
-		servers: servers, divisor: divisor, rng: rng,
+		servers: servers, divisor: divisor, rng: rng, lastID: rng.Uint64(),
 		pools: make(map[string]*pool), wake: make(chan struct{}, 1),
 	}
 }
--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -94,3 +94,22 @@
 	require.True(t, ok)
 	require.Equal(t, permit.Refused, d.Verdict)
 }
+
+// Guards against a slot that is freed by the release of a slot which an earlier
+// process granted under the same number, so that more requests run than the
+// server has slots.
+func TestReleaseOfAnEarlierProcessFreesNoSlot(t *testing.T) {
+	grant := func(seed uint64) (*Broker, uint64) {
+		src := &serverSource{version: 1, list: []permit.Server{{ID: "a", Slots: 1}}}
+		b := New(src.servers, 1, rand.New(rand.NewPCG(seed, 2)))
+		d, ok := b.Acquire(context.Background(), "server/a", request())
+		require.True(t, ok)
+		require.Equal(t, permit.Granted, d.Verdict)
+		return b, d.ID
+	}
+	_, earlier := grant(1)
+	b, _ := grant(2)
+	b.Finish("server/a", earlier, permit.Result{})
+	_, running := b.Depth()
+	require.Equal(t, 1, running)
+}
--- a/egress/egress.go
+++ b/egress/egress.go
@@ -97,7 +97,10 @@
 	Header http.Header
 	// Length is the body's length in bytes, -1 when unknown.
 	Length int64
-	Body   io.ReadCloser
+	// CloseDelimited says that only the close of the connection marks the end of
+	// the body.
+	CloseDelimited bool
+	Body           io.ReadCloser
 	// NotRun reports that the server refused the request without running it.
 	NotRun bool
 	// Sealed reports that the response is marked as written by the server
--- a/egress/head.go
+++ b/egress/head.go
@@ -129,5 +129,5 @@
 // closeDelimited reports whether only the close of the connection marks the end
 // of the body.
 func closeDelimited(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
 }
--- a/egress/response.go
+++ b/egress/response.go
@@ -15,12 +15,12 @@
 func (cn *conn) newResponse(h *Headers, req *Request, resp *http.Response, stop func() bool) *Response {
 	out := &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-		NotRun: notRun(h, resp), Sealed: resp.Header.Get(h.Seal) != "",
+		CloseDelimited: closeDelimited(resp), NotRun: notRun(h, resp), Sealed: resp.Header.Get(h.Seal) != "",
 	}
 	if h.ParseLoad != nil {
 		out.Load, out.HasLoad = h.ParseLoad(resp.Header.Get(h.Load))
 	}
-	if resp.Close || closeDelimited(resp) {
+	if resp.Close || out.CloseDelimited {
 		cn.reusable = false
 	}
 	if out.NotRun || out.Status >= http.StatusInternalServerError {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -455,7 +455,7 @@
 	resp := res.resp
 	took := time.Since(r.Arrived)
 	f.Stats.Answered(r.routeName(), "served", took)
-	ans := &ingress.Response{Status: resp.Status, Header: resp.Header, Length: resp.Length}
+	ans := &ingress.Response{Status: resp.Status, Header: resp.Header, Length: resp.Length, CloseDelimited: resp.CloseDelimited}
 	if res.body != nil {
 		cancel()
 		ans.Body = res.body
--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -238,3 +238,28 @@
 		})
 	}
 }
+
+// Guards against an answer without a length, whose end only the close of the
+// server's connection marks, that is passed on as one of known length. An answer
+// cut within its head must not reach the caller at all.
+func TestAnswerWithoutLengthIsPassedOnAsSuch(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nRequest-Id: x\r\nSeal: s\r\n"
+	for name, text := range map[string]string{"whole head": head + "\r\nshort", "empty": head + "\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			ff := newFaultyForwarder(t, func(nc net.Conn, _ int32) {
+				_, _ = io.WriteString(nc, text)
+				_ = nc.(*net.TCPConn).CloseWrite()
+			})
+			ans := ff.Serve(context.Background(), newRequest("/w/1"))
+			require.Equal(t, http.StatusOK, ans.Status)
+			require.True(t, ans.CloseDelimited)
+		})
+	}
+	for n := range len(head) {
+		ff := newFaultyForwarder(t, func(nc net.Conn, _ int32) {
+			_, _ = io.WriteString(nc, head[:n])
+			_ = nc.(*net.TCPConn).CloseWrite()
+		})
+		require.Equal(t, http.StatusBadGateway, ff.Serve(context.Background(), newRequest("/w/1")).Status, "head of %d bytes", n)
+	}
+}
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -5,18 +5,12 @@
 	"context"
 	"io"
 	"net"
-	"net/http"
 	"os"
-	"slices"
-	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
-	"golang.org/x/net/http/httpguts"
 
-	"godwitlock.example/godwitlock/call"
 	"godwitlock.example/godwitlock/internal/readlimit"
 )
 
@@ -73,6 +67,8 @@
 	writerDone chan struct{}
 	// writeEnded is set when no further response will be written.
 	writeEnded atomic.Bool
+	// reset is set when the connection is to end with a reset.
+	reset atomic.Bool
 	// lastWrite is the time of the last response, or of accepting the
 	// connection before the first one, in Unix nanoseconds.
 	lastWrite atomic.Int64
@@ -232,139 +228,6 @@
 	return err
 }
 
-// readRequest reads a request and its body. A non-nil Response rejects the
-// request and is the last one of the connection; an error without a Response
-// means that the caller has disconnected.
-func (c *conn) readRequest(limits Limits) (*Request, *Response, error) {
-	_ = c.nc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	c.limited.SetLimit(int64(limits.HeaderBytes + headerSlackBytes))
-	c.errs.last = nil
-	hr, err := http.ReadRequest(c.br)
-	c.limited.Unlimit()
-	if err != nil && c.errs.last != nil {
-		err = c.errs.last
-	}
-	if err != nil {
-		return nil, parseErrorResponse(err), err
-	}
-	req, refusal := c.newRequest(hr)
-	if refusal != nil {
-		return nil, refusal, nil
-	}
-	if hr.ContentLength > limits.BodyBytes {
-		return nil, statusResponse(http.StatusRequestEntityTooLarge), nil
-	}
-	if strings.EqualFold(hr.Header.Get("Expect"), "100-continue") && c.state.owed() == 0 {
-		if _, err := io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, nil, err
-		}
-	}
-	return c.readBody(req, hr, limits)
-}
-
-// parseErrorResponse returns the response to a request that could not be read,
-// or nil when the caller has disconnected.
-func parseErrorResponse(err error) *Response {
-	var netErr net.Error
-	switch {
-	case errors.Is(err, readlimit.ErrExceeded):
-		return statusResponse(http.StatusRequestHeaderFieldsTooLarge)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return statusResponse(http.StatusRequestTimeout)
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr):
-		return nil
-	}
-	return statusResponse(http.StatusBadRequest)
-}
-
-// newRequest returns the Request of a parsed head, or a Response that rejects
-// it.
-func (c *conn) newRequest(hr *http.Request) (*Request, *Response) {
-	h := &c.srv.headers
-	if hr.ProtoMajor != 1 || hr.Host == "" || hr.URL.Path == "" || hr.URL.Path[0] != '/' || hr.URL.IsAbs() {
-		return nil, statusResponse(http.StatusBadRequest)
-	}
-	for name, values := range hr.Header {
-		// net/http accepts names that contain a space, which backend servers
-		// may read as the name without it.
-		if !httpguts.ValidHeaderFieldName(name) || slices.ContainsFunc(values, invalidValue) {
-			return nil, statusResponse(http.StatusBadRequest)
-		}
-	}
-	now := time.Now()
-	req := &Request{
-		ID: hr.Header.Get(h.RequestID), Method: hr.Method, URI: hr.RequestURI, Path: hr.URL.Path, Host: hr.Host,
-		CallerKey: hr.Header.Get(h.CallerKey), Arrived: now,
-	}
-	if v := hr.Header.Get(h.DeadlineMS); v != "" {
-		ms, err := strconv.ParseInt(v, 10, 64)
-		if err != nil || ms < 0 {
-			return nil, statusResponse(http.StatusBadRequest)
-		}
-		req.Deadline = now.Add(time.Duration(ms) * time.Millisecond)
-	}
-	if v := hr.Header.Get(h.Key); v != "" {
-		n, err := strconv.ParseUint(v, 10, 16)
-		if err != nil {
-			return nil, statusResponse(http.StatusBadRequest)
-		}
-		req.Key, req.HasKey = uint16(n), true
-	}
-	req.Header = hr.Header
-	req.Header.Del(h.CallerKey)
-	req.Header.Del("Expect")
-	req.Header.Del("Content-Length")
-	return req, nil
-}
-
-func invalidValue(v string) bool { return !httpguts.ValidHeaderFieldValue(v) }
-
-// readBody buffers a body of at most maxBufferedBodyBytes and sets up a stream
-// for a longer one.
-func (c *conn) readBody(req *Request, hr *http.Request, limits Limits) (*Request, *Response, error) {
-	c.lastRequest = hr.Close || !hr.ProtoAtLeast(1, 1)
-	call.StripHopByHop(req.Header)
-	if hr.Body == http.NoBody || hr.ContentLength == 0 {
-		return req, nil, nil
-	}
-	_ = c.nc.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	source := http.MaxBytesReader(nil, hr.Body, limits.BodyBytes)
-	if hr.ContentLength > maxBufferedBodyBytes {
-		req.Stream, req.Length = &bodyReader{c: c, r: source}, hr.ContentLength
-		return req, nil, nil
-	}
-	data, err := io.ReadAll(io.LimitReader(source, maxBufferedBodyBytes+1))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, statusResponse(http.StatusRequestEntityTooLarge), nil
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, statusResponse(http.StatusRequestTimeout), nil
-	case errors.Is(err, io.ErrUnexpectedEOF):
-		return nil, nil, err
-	case err != nil:
-		return nil, parseErrorResponse(err), err
-	}
-	if len(data) <= maxBufferedBodyBytes {
-		req.Body = data
-		return req, nil, nil
-	}
-	rest := &bodyReader{c: c, r: source}
-	req.Stream, req.Length = io.MultiReader(strings.NewReader(string(data)), rest), hr.ContentLength
-	return req, nil, nil
-}
-
-// bodyReader reads a streamed body with bodyReadTimeout for each read.
-type bodyReader struct {
-	c *conn
-	r io.Reader
-}
-
-func (b *bodyReader) Read(p []byte) (int, error) {
-	_ = b.c.nc.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	return b.r.Read(p)
-}
-
 // startRequest starts a request and reports whether another one may be read. It
 // returns only after a request with a streamed body has run, because the handler
 // reads the body from the connection.
@@ -422,161 +285,3 @@
 		return false
 	}
 }
-
-// writeLoop writes the responses in the order of the requests.
-func (c *conn) writeLoop() {
-	defer close(c.writerDone)
-	bw := bufio.NewWriterSize(c.nc, bufferBytes)
-	for p := range c.pending {
-		var resp *Response
-		select {
-		case resp = <-p.response:
-			resp = answerable(resp)
-		case <-c.ctx.Done():
-			// The caller has disconnected. The handler runs with the same context
-			// and returns soon.
-			resp = <-p.response
-			resp.Abort = true
-		}
-		last := c.state.beginAnswer(p.last, c.srv.draining.Load())
-		err := c.writeResponse(bw, p, resp, last)
-		var end *ConnectionEnd
-		if err != nil || last {
-			end = c.endOf(p, err)
-		}
-		if resp.OnWritten != nil && err != nil {
-			resp.OnWritten(end)
-		} else if resp.OnWritten != nil {
-			resp.OnWritten(nil)
-		}
-		c.lastWrite.Store(time.Now().UnixNano())
-		c.state.endAnswer()
-		c.list.remove()
-		if end != nil {
-			ahead := 0
-			if err != nil {
-				c.reportDropped(p, end, 0, p.readyStatus(resp))
-				ahead = 1
-			}
-			c.shutdown(end, ahead)
-			return
-		}
-	}
-}
-
-// shutdown stops readLoop and cancels the requests that follow the last answered
-// one. They get no response, so the caller must treat them as not read. ahead is
-// the number of requests that were dropped already.
-func (c *conn) shutdown(end *ConnectionEnd, ahead int) {
-	c.state.end()
-	c.writeEnded.Store(true)
-	c.cancel(end)
-	c.interrupt()
-	go func() {
-		for p := range c.pending {
-			c.drop(p, end, ahead)
-			ahead++
-		}
-	}()
-}
-
-// errAborted reports a response that the handler or a disconnect aborted.
-var errAborted = errors.New("connection closed without a response")
-
-func (c *conn) writeResponse(bw *bufio.Writer, p *pendingResponse, resp *Response, last bool) error {
-	if resp.Stream != nil {
-		defer func() { _ = resp.Stream.Close() }()
-	}
-	if resp.Abort {
-		return errAborted
-	}
-	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
-	writeHead(bw, resp, last)
-	if p.method == http.MethodHead || resp.Status == http.StatusNoContent || resp.Status == http.StatusNotModified {
-		return bw.Flush()
-	}
-	if resp.Stream == nil {
-		_, _ = bw.Write(resp.Body)
-		return bw.Flush()
-	}
-	return c.writeStream(bw, resp)
-}
-
-// writeHead writes the status line and header section.
-func writeHead(bw *bufio.Writer, resp *Response, last bool) {
-	_, _ = bw.WriteString("HTTP/1.1 " + strconv.Itoa(resp.Status) + " " + http.StatusText(resp.Status) + "\r\n")
-	for name, values := range resp.Header {
-		if name == "Content-Length" || name == "Transfer-Encoding" || name == "Connection" {
-			continue
-		}
-		for _, v := range values {
-			_, _ = bw.WriteString(name + ": " + v + "\r\n")
-		}
-	}
-	switch {
-	case resp.Stream != nil && resp.Length < 0:
-		_, _ = bw.WriteString("Transfer-Encoding: chunked\r\n")
-	case resp.Stream != nil:
-		_, _ = bw.WriteString("Content-Length: " + strconv.FormatInt(resp.Length, 10) + "\r\n")
-	case resp.Status != http.StatusNoContent && resp.Status != http.StatusNotModified:
-		_, _ = bw.WriteString("Content-Length: " + strconv.Itoa(len(resp.Body)) + "\r\n")
-	}
-	if last {
-		_, _ = bw.WriteString("Connection: close\r\n")
-	}
-	_, _ = bw.WriteString("\r\n")
-}
-
-// writeStream copies a streamed body. If its source fails, the response lacks
-// its last chunk or some of its Content-Length, so that the caller can tell
-// that it is incomplete.
-func (c *conn) writeStream(bw *bufio.Writer, resp *Response) error {
-	buf := make([]byte, bufferBytes)
-	remaining := resp.Length
-	for {
-		n, err := resp.Stream.Read(buf)
-		if n > 0 {
-			_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
-			if resp.Length < 0 {
-				_, _ = bw.WriteString(strconv.FormatInt(int64(n), 16) + "\r\n")
-			}
-			_, _ = bw.Write(buf[:n])
-			if resp.Length < 0 {
-				_, _ = bw.WriteString("\r\n")
-			}
-			remaining -= int64(n)
-			if flushErr := bw.Flush(); flushErr != nil {
-				return flushErr
-			}
-		}
-		if err == io.EOF {
-			break
-		}
-		if err != nil {
-			return sourceError{err}
-		}
-	}
-	if resp.Length < 0 {
-		_, _ = bw.WriteString("0\r\n\r\n")
-	} else if remaining != 0 {
-		return sourceError{io.ErrUnexpectedEOF}
-	}
-	return bw.Flush()
-}
-
-// statusResponse returns a response of the front end itself, with the status
-// text as its body.
-func statusResponse(status int) *Response {
-	return &Response{
-		Status: status,
-		Header: http.Header{"Content-Type": {"text/plain; charset=utf-8"}},
-		Body:   []byte(http.StatusText(status) + "\n"),
-	}
-}
-
-// resolved returns a channel that already contains resp.
-func resolved(resp *Response) chan *Response {
-	ch := make(chan *Response, 1)
-	ch <- resp
-	return ch
-}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -64,6 +64,11 @@
 	Stream io.ReadCloser
 	// Length is the length of Stream in bytes, -1 when unknown.
 	Length int64
+	// CloseDelimited says that only the close of a connection marked the end of
+	// the body at its source. It is passed on in the same way, so that the caller
+	// knows what proves that the body is complete, unless other responses are owed
+	// on the connection.
+	CloseDelimited bool
 	// Abort closes the connection without a response.
 	Abort bool
 	// OnWritten, unless nil, is called once with the result of writing the
--- /dev/null
+++ b/ingress/read.go
@@ -0,0 +1,151 @@
+package ingress
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"golang.org/x/net/http/httpguts"
+
+	"godwitlock.example/godwitlock/call"
+	"godwitlock.example/godwitlock/internal/readlimit"
+)
+
+// readRequest reads a request and its body. A non-nil Response rejects the
+// request and is the last one of the connection; an error without a Response
+// means that the caller has disconnected.
+func (c *conn) readRequest(limits Limits) (*Request, *Response, error) {
+	_ = c.nc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	c.limited.SetLimit(int64(limits.HeaderBytes + headerSlackBytes))
+	c.errs.last = nil
+	hr, err := http.ReadRequest(c.br)
+	c.limited.Unlimit()
+	if err != nil && c.errs.last != nil {
+		err = c.errs.last
+	}
+	if err != nil {
+		return nil, parseErrorResponse(err), err
+	}
+	req, refusal := c.newRequest(hr)
+	if refusal != nil {
+		return nil, refusal, nil
+	}
+	if hr.ContentLength > limits.BodyBytes {
+		return nil, statusResponse(http.StatusRequestEntityTooLarge), nil
+	}
+	if strings.EqualFold(hr.Header.Get("Expect"), "100-continue") && c.state.owed() == 0 {
+		if _, err := io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return nil, nil, err
+		}
+	}
+	return c.readBody(req, hr, limits)
+}
+
+// parseErrorResponse returns the response to a request that could not be read,
+// or nil when the caller has disconnected.
+func parseErrorResponse(err error) *Response {
+	var netErr net.Error
+	switch {
+	case errors.Is(err, readlimit.ErrExceeded):
+		return statusResponse(http.StatusRequestHeaderFieldsTooLarge)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return statusResponse(http.StatusRequestTimeout)
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr):
+		return nil
+	}
+	return statusResponse(http.StatusBadRequest)
+}
+
+// newRequest returns the Request of a parsed head, or a Response that rejects
+// it.
+func (c *conn) newRequest(hr *http.Request) (*Request, *Response) {
+	h := &c.srv.headers
+	if hr.ProtoMajor != 1 || hr.Host == "" || hr.URL.Path == "" || hr.URL.Path[0] != '/' || hr.URL.IsAbs() {
+		return nil, statusResponse(http.StatusBadRequest)
+	}
+	for name, values := range hr.Header {
+		// net/http accepts names that contain a space, which backend servers
+		// may read as the name without it.
+		if !httpguts.ValidHeaderFieldName(name) || slices.ContainsFunc(values, invalidValue) {
+			return nil, statusResponse(http.StatusBadRequest)
+		}
+	}
+	now := time.Now()
+	req := &Request{
+		ID: hr.Header.Get(h.RequestID), Method: hr.Method, URI: hr.RequestURI, Path: hr.URL.Path, Host: hr.Host,
+		CallerKey: hr.Header.Get(h.CallerKey), Arrived: now,
+	}
+	if v := hr.Header.Get(h.DeadlineMS); v != "" {
+		ms, err := strconv.ParseInt(v, 10, 64)
+		if err != nil || ms < 0 {
+			return nil, statusResponse(http.StatusBadRequest)
+		}
+		req.Deadline = now.Add(time.Duration(ms) * time.Millisecond)
+	}
+	if v := hr.Header.Get(h.Key); v != "" {
+		n, err := strconv.ParseUint(v, 10, 16)
+		if err != nil {
+			return nil, statusResponse(http.StatusBadRequest)
+		}
+		req.Key, req.HasKey = uint16(n), true
+	}
+	req.Header = hr.Header
+	req.Header.Del(h.CallerKey)
+	req.Header.Del("Expect")
+	req.Header.Del("Content-Length")
+	return req, nil
+}
+
+func invalidValue(v string) bool { return !httpguts.ValidHeaderFieldValue(v) }
+
+// readBody buffers a body of at most maxBufferedBodyBytes and sets up a stream
+// for a longer one.
+func (c *conn) readBody(req *Request, hr *http.Request, limits Limits) (*Request, *Response, error) {
+	c.lastRequest = hr.Close || !hr.ProtoAtLeast(1, 1)
+	call.StripHopByHop(req.Header)
+	if hr.Body == http.NoBody || hr.ContentLength == 0 {
+		return req, nil, nil
+	}
+	_ = c.nc.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	source := http.MaxBytesReader(nil, hr.Body, limits.BodyBytes)
+	if hr.ContentLength > maxBufferedBodyBytes {
+		req.Stream, req.Length = &bodyReader{c: c, r: source}, hr.ContentLength
+		return req, nil, nil
+	}
+	data, err := io.ReadAll(io.LimitReader(source, maxBufferedBodyBytes+1))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, statusResponse(http.StatusRequestEntityTooLarge), nil
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, statusResponse(http.StatusRequestTimeout), nil
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return nil, nil, err
+	case err != nil:
+		return nil, parseErrorResponse(err), err
+	}
+	if len(data) <= maxBufferedBodyBytes {
+		req.Body = data
+		return req, nil, nil
+	}
+	rest := &bodyReader{c: c, r: source}
+	req.Stream, req.Length = io.MultiReader(strings.NewReader(string(data)), rest), hr.ContentLength
+	return req, nil, nil
+}
+
+// bodyReader reads a streamed body with bodyReadTimeout for each read.
+type bodyReader struct {
+	c *conn
+	r io.Reader
+}
+
+func (b *bodyReader) Read(p []byte) (int, error) {
+	_ = b.c.nc.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	return b.r.Read(p)
+}
--- a/ingress/state.go
+++ b/ingress/state.go
@@ -72,13 +72,14 @@
 }
 
 // beginAnswer records that a response is ready to be written, and reports whether
-// it is the last one. With mustEnd it always is.
-func (s *connState) beginAnswer(mustEnd, draining bool) bool {
+// it is the last one. With mustEnd it always is, with shouldEnd if no other response
+// is owed.
+func (s *connState) beginAnswer(mustEnd, shouldEnd bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.unanswered--
 	s.writing = true
-	last := mustEnd || (draining || s.closing) && s.unanswered == 0 && s.reader != reading
+	last := mustEnd || (shouldEnd || s.closing) && s.unanswered == 0 && s.reader != reading
 	s.ended = s.ended || last
 	return last
 }
