ingress: serve the queue of the listener before a stop closes it

Change: a stop accepts until no connection has arrived for 50 ms, at most 0.4 s, and looks at the queue once more after that deadline.

--- /dev/null
+++ b/ingress/accept.go
@@ -0,0 +1,89 @@
+package ingress
+
+import (
+	"context"
+	"net"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// lastAcceptWait is how long the last call of Accept waits. It begins with a look
+// at the queue, which the call before it, whose deadline passed, may not have had
+// the time for.
+const lastAcceptWait = time.Millisecond
+
+// acceptPollInterval is how often StopAccepting checks whether Serve has returned.
+const acceptPollInterval = 5 * time.Millisecond
+
+// deadlineListener is a listener whose Accept can be given a deadline.
+type deadlineListener interface {
+	net.Listener
+	SetDeadline(t time.Time) error
+}
+
+// Serve accepts connections on lis until it fails, is closed, or its queue is empty
+// after StopAccepting. It returns the error of Accept.
+func (s *Server) Serve(lis net.Listener) error {
+	s.serving.Add(1)
+	defer s.serving.Add(-1)
+	lastCall := false
+	for {
+		nc, err := lis.Accept()
+		if err == nil {
+			lastCall = false
+			s.start(nc)
+		}
+		quiet := time.Duration(s.acceptQuiet.Load())
+		switch {
+		case quiet == 0 && err == nil:
+			continue
+		case err == nil:
+		case lastCall || quiet == 0 || !errors.Is(err, os.ErrDeadlineExceeded):
+			return err
+		default:
+			lastCall, quiet = true, lastAcceptWait
+		}
+		if dl, ok := lis.(deadlineListener); ok {
+			_ = dl.SetDeadline(time.Now().Add(quiet))
+		}
+	}
+}
+
+func (s *Server) start(nc net.Conn) {
+	c := newConn(s, nc)
+	s.mu.Lock()
+	s.conns[c] = struct{}{}
+	s.mu.Unlock()
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		c.serve()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
+}
+
+// StopAccepting accepts the connections that wait in the queue of lis until none
+// has arrived for quiet, and then closes lis. Closing it before would reset
+// connections that callers consider open. It returns early when ctx ends.
+func (s *Server) StopAccepting(ctx context.Context, lis net.Listener, quiet time.Duration) {
+	defer func() { _ = lis.Close() }()
+	dl, ok := lis.(deadlineListener)
+	if !ok || !s.Accepting() {
+		return
+	}
+	s.acceptQuiet.Store(int64(quiet))
+	if dl.SetDeadline(time.Now().Add(quiet)) != nil {
+		return
+	}
+	for s.Accepting() && ctx.Err() == nil {
+		time.Sleep(acceptPollInterval)
+	}
+}
+
+// Accepting reports whether a call of Serve has not returned. Until then, a
+// connection that was accepted may not be among the open ones yet.
+func (s *Server) Accepting() bool { return s.serving.Load() > 0 }
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -112,6 +111,8 @@
 
 	// serving counts the running calls of Serve.
 	serving atomic.Int32
+	// acceptQuiet is set by StopAccepting, in nanoseconds.
+	acceptQuiet atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -124,31 +125,6 @@
 	return &Server{headers: h, handler: handler, limits: limits, conns: make(map[*conn]struct{})}
 }
 
-// Serve accepts connections on lis until it fails or is closed, and returns the
-// error of Accept.
-func (s *Server) Serve(lis net.Listener) error {
-	s.serving.Add(1)
-	defer s.serving.Add(-1)
-	for {
-		nc, err := lis.Accept()
-		if err != nil {
-			return err
-		}
-		c := newConn(s, nc)
-		s.mu.Lock()
-		s.conns[c] = struct{}{}
-		s.mu.Unlock()
-		s.wg.Add(1)
-		go func() {
-			defer s.wg.Done()
-			c.serve()
-			s.mu.Lock()
-			delete(s.conns, c)
-			s.mu.Unlock()
-		}()
-	}
-}
-
 // Drain closes each connection after the last response that it owes: to requests
 // of which bytes were read. From then on, a request is read only from a connection
 // on which none is unanswered.
@@ -172,10 +148,6 @@
 	}
 }
 
-// Accepting reports whether a call of Serve has not returned. Until then, a
-// connection that was accepted may not be among the open ones yet.
-func (s *Server) Accepting() bool { return s.serving.Load() > 0 }
-
 // OpenConnections returns the number of connections that are open, idle ones
 // included.
 func (s *Server) OpenConnections() int {
--- a/node/stop.go
+++ b/node/stop.go
@@ -24,6 +24,9 @@
 	// They wait for goroutines that may be blocked, such as the handshake of a
 	// peer that sends nothing.
 	finalStepTimeout = 100 * time.Millisecond
+	// acceptQuiet is how long no connection may arrive before the listener is
+	// closed, and maxAcceptTime bounds the wait for that.
+	acceptQuiet, maxAcceptTime = 50 * time.Millisecond, 400 * time.Millisecond
 	// stopPollInterval is how often a stopping VM checks for open connections.
 	stopPollInterval = 50 * time.Millisecond
 )
@@ -62,7 +65,7 @@
 	step("await_balancer")
 	pause(ctx, time.Until(begin.Add(min(balancerDelay, limit/2))))
 	step("close_listener")
-	_ = n.callerLis.Close()
+	n.stopAccepting(ctx)
 	step("close_idle")
 	n.ingress.CloseIdle()
 	step("await_connections")
@@ -87,6 +90,14 @@
 	})
 }
 
+// stopAccepting closes the listener after it has accepted the connections that
+// wait in its queue.
+func (n *Node) stopAccepting(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, maxAcceptTime)
+	defer cancel()
+	n.ingress.StopAccepting(ctx, n.callerLis, acceptQuiet)
+}
+
 // releaseLease gives up the leadership. It states that no order of this process can
 // still take effect if the assigner confirms that in time.
 func (n *Node) releaseLease(ctx context.Context, step func(name string)) {
