Servers that leave, or want a pause, by their answers

Cause: two new contracts. A server that leaves says so in all its answers; requests sent later than drainS after that must not reach it from the VM that passed the answer on, also while the store is away. A server that refuses with 503 and Retry-After wants nothing from that VM for so long.

Change: platform/ decodes both (spoiled, doubled and absurd values are logged once and ignored). directory marks the incarnation as leaving, which no entry of the store undoes; the VM tells the leader at once, and each later leader, which moves the keys and tells all VMs. pushback holds the pauses by incarnation: no request is sent to a paused server, slots granted meanwhile go back, services without keys use their other servers, and a request for a key waits if it can still be prompt after the pause, else it is refused at once (server_paused). The stand-in server does both. forward/attempt.go is split by duty.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -75,8 +75,22 @@
 	version uint64
 	// removals lists the latest removals, oldest first.
 	removals []removal
+	// leaving holds the servers that said of themselves that they leave, which is
+	// final for an incarnation.
+	leaving map[topo.ServerID]leavingMark
 }
 
+// leavingMark records the start of the incarnation that leaves, and the version of
+// the directory with which this became known.
+type leavingMark struct {
+	startedAtMs int64
+	version     uint64
+}
+
+// maxLeavingMarks bounds the marks; those of servers without an entry are deleted
+// first.
+const maxLeavingMarks = 4096
+
 // removal records that a server was removed, and the version of the directory
 // after the removal.
 type removal struct {
@@ -94,6 +108,7 @@
 		removedRevs: make(map[topo.ServerID]int64),
 		lapsed:      make(map[topo.ServerID]time.Time),
 		evacuated:   make(map[topo.DataCentreName]bool),
+		leaving:     make(map[topo.ServerID]leavingMark),
 	}
 }
 
@@ -249,10 +264,11 @@
 	}
 }
 
-// Usable reports whether new requests may be sent to the server: it is Ready
-// and its data centre is in service. A nil server is not usable.
+// Usable reports whether new requests may be sent to the server: it is Ready, has
+// not said that it leaves, and its data centre is in service. A nil server is not
+// usable.
 func (d *Directory) Usable(s *Server) bool {
-	return s != nil && s.State == Ready && !d.evacuated[s.DataCentre]
+	return s != nil && s.State == Ready && !d.evacuated[s.DataCentre] && !d.IsLeaving(s.Incarnation())
 }
 
 // RetainOnly removes every server that is not in ids, the servers that the
--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -83,6 +83,9 @@
 	CallerGone
 	// Internal: this VM failed in a way that leaves the outcome unknown.
 	Internal
+	// ServerPaused: the servers that could run the request want no requests from
+	// this VM for some time.
+	ServerPaused
 
 	numKinds
 )
@@ -155,6 +158,7 @@
 	DeadlineAfterRun:      {"deadline_after_run", http.StatusGatewayTimeout, Unknown, false},
 	CallerGone:            {"caller_gone", 499, Unknown, false},
 	Internal:              {"internal", http.StatusInternalServerError, Unknown, false},
+	ServerPaused:          {"server_paused", http.StatusServiceUnavailable, NotRun, true},
 }
 
 // Answer returns how k is reported to callers. An undefined kind is reported as
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -184,6 +184,9 @@
 		}
 		d.ApplyRemovals(ids, resp.GetServersRev())
 	}
+	for _, id := range decodeIncarnations(resp.GetLeaving()) {
+		d.MarkLeaving(id)
+	}
 	names := make([]topo.DataCentreName, 0, len(resp.GetEvacuated()))
 	for _, n := range resp.GetEvacuated() {
 		names = append(names, topo.DataCentreName(n))
@@ -202,23 +205,36 @@
 	return out
 }
 
-// Report sends a report to the leader at addr. The error is ErrNotLeader when the
-// VM at addr is not the leader.
-func (f *Follower) Report(ctx context.Context, addr string, req *fleetpb.ReportRequest) error {
+// ReportLeaving tells the leader at addr of servers that said to this VM that they
+// leave. It returns the term of the leader.
+func (f *Follower) ReportLeaving(ctx context.Context, addr string, ids []topo.Incarnation) (topo.Term, error) {
+	return f.Report(ctx, addr, &fleetpb.ReportRequest{Vm: string(f.self.VM), Leaving: encodeIncarnations(ids)})
+}
+
+// Term returns the term of the leader that answered last.
+func (f *Follower) Term() topo.Term {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.term
+}
+
+// Report sends a report to the leader at addr and returns the term of the leader.
+// The error is ErrNotLeader when the VM at addr is not the leader.
+func (f *Follower) Report(ctx context.Context, addr string, req *fleetpb.ReportRequest) (topo.Term, error) {
 	conn, err := f.peers.Conn(addr)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	resp, err := fleetpb.NewFleetClient(conn).Report(ctx, req)
 	if err != nil {
-		return errors.Annotatef(err, "Report call to the leader at %s", addr)
+		return 0, errors.Annotatef(err, "Report call to the leader at %s", addr)
 	}
 	if !resp.GetLeads() {
-		return errors.Annotatef(ErrNotLeader, "VM at %s", addr)
+		return 0, errors.Annotatef(ErrNotLeader, "VM at %s", addr)
 	}
-	return nil
+	return topo.Term(resp.GetTerm()), nil
 }
 
 // ReportLocal records the report of this VM. It is for the leader, which does not
--- a/fleet/hub.go
+++ b/fleet/hub.go
@@ -55,6 +55,9 @@
 	oldestStoreResponse func() time.Time
 	loads               Loads
 	configCompressor    configCompressor
+	// OnLeaving, unless nil, is called when a VM reports a server that leaves and
+	// that was not known to leave. It must be set before the hub is used.
+	OnLeaving func(topo.Incarnation)
 
 	mu             sync.Mutex
 	members        map[topo.VMID]*member
@@ -274,6 +277,11 @@
 	if out.Complete {
 		out.Ids = nil
 	}
+	leavingSince := req.GetDirectoryVersion()
+	if out.Complete {
+		leavingSince = 0
+	}
+	out.Leaving = encodeIncarnations(d.LeavingSince(leavingSince))
 	d.Servers(func(s *directory.Server) {
 		if out.Complete {
 			out.Ids = append(out.Ids, string(s.ID))
@@ -300,9 +308,11 @@
 
 // report records a VM's report, unless this VM is not the leader.
 func (h *Hub) report(req *fleetpb.ReportRequest) *fleetpb.ReportResponse {
-	if _, leads := h.leads(); !leads {
+	term, leads := h.leads()
+	if !leads {
 		return &fleetpb.ReportResponse{}
 	}
+	h.markLeaving(decodeIncarnations(req.GetLeaving()))
 	for _, l := range req.GetLoads() {
 		for i, k := range l.GetKeys() {
 			if i < len(l.GetCounts()) && k <= uint32(keyrange.MaxKey) {
@@ -313,7 +323,34 @@
 	for _, w := range req.GetWork() {
 		h.loads.Answered(topo.ServerID(w.GetServer()), int(w.GetAnswers()), micros(w.GetMeanUs()))
 	}
-	return &fleetpb.ReportResponse{Leads: true}
+	return &fleetpb.ReportResponse{Leads: true, Term: uint64(term)}
+}
+
+// markLeaving records servers of which another VM learned that they leave.
+func (h *Hub) markLeaving(ids []topo.Incarnation) {
+	for _, id := range ids {
+		marked := false
+		h.view.Directory(func(d *directory.Directory) { marked = d.MarkLeaving(id) })
+		if marked && h.OnLeaving != nil {
+			h.OnLeaving(id)
+		}
+	}
+}
+
+func encodeIncarnations(ids []topo.Incarnation) []*fleetpb.Incarnation {
+	out := make([]*fleetpb.Incarnation, 0, len(ids))
+	for _, id := range ids {
+		out = append(out, &fleetpb.Incarnation{Server: string(id.Server), Born: id.StartedAtMs})
+	}
+	return out
+}
+
+func decodeIncarnations(list []*fleetpb.Incarnation) []topo.Incarnation {
+	out := make([]topo.Incarnation, 0, len(list))
+	for _, m := range list {
+		out = append(out, topo.Incarnation{Server: topo.ServerID(m.GetServer()), StartedAtMs: m.GetBorn()})
+	}
+	return out
 }
 
 func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -59,6 +59,9 @@
 	for _, id := range req.GetAvoid() {
 		r.Avoid = append(r.Avoid, topo.ServerID(id))
 	}
+	for _, id := range req.GetExcluded() {
+		r.Excluded = append(r.Excluded, topo.ServerID(id))
+	}
 	d, ok := s.broker.Acquire(ctx, req.GetPool(), r)
 	if !ok {
 		return nil, status.FromContextError(ctx.Err()).Err()
--- a/fleet/slots.go
+++ b/fleet/slots.go
@@ -178,6 +178,9 @@
 	for _, id := range r.Avoid {
 		out.Avoid = append(out.Avoid, string(id))
 	}
+	for _, id := range r.Excluded {
+		out.Excluded = append(out.Excluded, string(id))
+	}
 	return out
 }
 
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -9,16 +9,11 @@
 
 	"github.com/juju/errors"
 
-	"godwitlock.example/godwitlock/call"
-	"godwitlock.example/godwitlock/clock"
-	"godwitlock.example/godwitlock/directory"
 	"godwitlock.example/godwitlock/egress"
 	"godwitlock.example/godwitlock/errkind"
 	"godwitlock.example/godwitlock/ingress"
-	"godwitlock.example/godwitlock/keyrange"
 	"godwitlock.example/godwitlock/permit"
 	"godwitlock.example/godwitlock/topo"
-	"godwitlock.example/godwitlock/view"
 )
 
 const (
@@ -142,103 +137,6 @@
 	}
 }
 
-// grantedServer is a server and the slot that was granted on it.
-type grantedServer struct {
-	*directory.Server
-	slot Slot
-}
-
-// acquireServer finds the server for an attempt and waits for a slot there.
-// With newOwnerOnly it waits for an owner other than the last one tried. When
-// the key gets another owner during the wait for a slot, it continues with that
-// owner.
-func (f *Forwarder) acquireServer(ctx context.Context, r *request, newOwnerOnly bool) (grantedServer, *refusal) {
-	if !r.service.Keyed {
-		return f.acquireSlot(ctx, f.View.Snapshot(), r, view.PoolOf(r.service, ""))
-	}
-	for {
-		server, snap, ref := f.awaitOwner(ctx, r, newOwnerOnly)
-		if ref != nil {
-			return grantedServer{}, ref
-		}
-		ownedCtx, stop := f.contextWhileOwner(ctx, r, server)
-		granted, ref := f.acquireSlot(ownedCtx, snap, r, view.PoolOf(r.service, server))
-		moved := ownedCtx.Err() != nil && ctx.Err() == nil
-		stop()
-		if !moved {
-			return granted, ref
-		}
-		if ref == nil {
-			granted.slot.Finish(permit.Result{})
-		}
-	}
-}
-
-// contextWhileOwner returns a context that ends when the request's key is no
-// longer owned by the server, or the server is no longer usable.
-func (f *Forwarder) contextWhileOwner(ctx context.Context, r *request, server topo.ServerID) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	go func() {
-		for {
-			changed := f.View.Changed()
-			snap := f.View.Snapshot()
-			rng, ok := snap.Tables[r.service.Name].Find(r.Key)
-			if !ok || rng.Server != server || rng.State != keyrange.Owned || snap.Usable(server) == nil {
-				cancel(errOwnerChanged)
-				return
-			}
-			select {
-			case <-changed:
-			case <-ctx.Done():
-				return
-			}
-		}
-	}()
-	return ctx, func() { cancel(errFinished) }
-}
-
-// acquireSlot waits for a slot of a pool and checks that the request can still be
-// sent to the server of the slot: the server is usable, the request was not
-// cancelled and the configuration was confirmed recently enough.
-func (f *Forwarder) acquireSlot(ctx context.Context, snap *view.Snapshot, r *request, pool string) (grantedServer, *refusal) {
-	now, boot := time.Now(), clock.Boot()
-	left := r.deadline.Sub(now)
-	r.Progress.SetStage(ingress.WaitingForSlot)
-	switch {
-	case ctx.Err() != nil:
-		return grantedServer{}, &refusal{errkind.QueueFull, defaultRetryAfter, cancelled(ctx, "before an attempt")}
-	case left <= minAttemptTime:
-		return grantedServer{}, &refusal{errkind.QueueFull, defaultRetryAfter, "request's deadline is too near for an attempt: " + r.deadlineCause.Error()}
-	}
-	objectiveLeft := r.route.Objective - now.Sub(r.Arrived)
-	slot, d := f.Slots.Acquire(ctx, snap, pool, permit.Request{
-		Customer: r.customerID(), Priority: r.priority(), Avoid: r.triedServers,
-		StartBy: boot.Add(time.Duration(float64(left) * slotWaitShare)), PromptBy: boot.Add(objectiveLeft / 2),
-		Lease: left + slotLeaseMargin,
-	})
-	if d.Verdict != permit.Granted {
-		reason := "no slot granted in pool " + pool
-		if ctx.Err() != nil {
-			reason += ", " + cancelled(ctx, "during the wait")
-		}
-		return grantedServer{}, &refusal{errkind.QueueFull, d.RetryAfter, reason}
-	}
-	server := f.View.Snapshot().Usable(d.Server)
-	if server == nil || server.Service != r.service.Name {
-		slot.Finish(permit.Result{})
-		return grantedServer{}, &refusal{errkind.NoOwner, defaultRetryAfter, "server of the granted slot is no longer usable"}
-	}
-	if ctx.Err() != nil {
-		slot.Finish(permit.Result{})
-		return grantedServer{}, &refusal{errkind.QueueFull, defaultRetryAfter, cancelled(ctx, "during the wait for a slot")}
-	}
-	if r.customer != nil && !f.Fresh() {
-		slot.Finish(permit.Result{})
-		return grantedServer{}, &refusal{errkind.FreshnessLost, defaultRetryAfter, "configuration was not confirmed recently enough"}
-	}
-	return grantedServer{Server: server, slot: slot}, nil
-}
-
 func (r *request) customerID() topo.CustomerID {
 	if r.customer == nil {
 		return ""
@@ -246,56 +144,6 @@
 	return r.customer.ID
 }
 
-// awaitOwner returns the server that owns the request's key, and the snapshot
-// in which it does. While the key is being handed over, it waits up to
-// maxOwnerWait and at most half of the time left, unless the service has no
-// usable server. With newOwnerOnly it also waits for an owner other than the last
-// one tried, but returns that one when the wait ends.
-func (f *Forwarder) awaitOwner(ctx context.Context, r *request, newOwnerOnly bool) (topo.ServerID, *view.Snapshot, *refusal) {
-	if !r.HasKey {
-		return "", nil, &refusal{errkind.BadRequest, 0, "request has no key"}
-	}
-	r.Progress.SetStage(ingress.WaitingForOwner)
-	limit := min(maxOwnerWait, time.Until(r.deadline)/2)
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
-	first := true
-	var lastTried topo.ServerID
-	if n := len(r.triedServers); n > 0 {
-		lastTried = r.triedServers[n-1]
-	}
-	for {
-		changed := f.View.Changed()
-		snap := f.View.Snapshot()
-		rng, ok := snap.Tables[r.service.Name].Find(r.Key)
-		if ok && rng.State == keyrange.Orphaned {
-			return "", nil, &refusal{errkind.NoOwner, f.failureRetryAfter(r), "key has no owner: its last owner does not answer, and the hold of that owner has not expired"}
-		}
-		usable := ok && rng.State == keyrange.Owned && snap.Usable(rng.Server) != nil
-		if usable && (!newOwnerOnly || rng.Server != lastTried) {
-			return rng.Server, snap, nil
-		}
-		if len(snap.ServersOf(r.service.Name)) == 0 {
-			return "", nil, &refusal{errkind.NoOwner, f.failureRetryAfter(r), "service has no usable server"}
-		}
-		if first {
-			first = false
-			f.event("await_owner", r).Str("server", string(rng.Server)).Uint8("state", uint8(rng.State)).
-				Bool("known", ok).Send()
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			if usable {
-				return rng.Server, snap, nil
-			}
-			return "", nil, &refusal{errkind.NoOwner, f.failureRetryAfter(r), "key had no usable owner within the wait limit"}
-		case <-ctx.Done():
-			return "", nil, &refusal{errkind.NoOwner, defaultRetryAfter, cancelled(ctx, "while its key had no owner")}
-		}
-	}
-}
-
 // failureRetryAfter returns the Retry-After of a request that failed at a
 // server: a quarter of the time left, but at least defaultRetryAfter and at
 // most 500 ms.
@@ -447,46 +295,3 @@
 	server.slot.Finish(permit.Result{ServiceTime: d})
 	f.Stats.Completed(server.ID, d)
 }
-
-// deliver converts a server's answer to the answer for the caller. It calls
-// cancel, which ends the work context, at the end of a streamed answer and at
-// once for a buffered one.
-func (f *Forwarder) deliver(ctx context.Context, r *request, server grantedServer, res *result, cancel context.CancelFunc) *ingress.Response {
-	resp := res.resp
-	took := time.Since(r.Arrived)
-	f.Stats.Answered(r.routeName(), "served", took)
-	ans := &ingress.Response{Status: resp.Status, Header: resp.Header, Length: resp.Length, CloseDelimited: resp.CloseDelimited}
-	if res.body != nil {
-		cancel()
-		ans.Body = res.body
-		return ans
-	}
-	ans.Stream = call.OnEnd(resp.Body, cancel)
-	ans.OnWritten = func(err error) {
-		if err != nil {
-			f.logAnswerCut(ctx, r, err)
-		}
-	}
-	return ans
-}
-
-// logAnswerCut logs that a streamed answer was not delivered to its end. err is
-// the reason of the front end, and ctx the work context.
-func (f *Forwarder) logAnswerCut(ctx context.Context, r *request, err error) {
-	server, took := r.Progress.Attempt()
-	e := f.event("answer_cut", r).Str("server", server).Str("stage", r.Progress.Stage().String()).
-		Dur("attempt_ms", took).Dur("took_ms", time.Since(r.Arrived)).Str("cancelled_by", endCause(ctx)).Err(err)
-	var end *ingress.ConnectionEnd
-	if errors.As(err, &end) {
-		e.Str("cause", string(end.Cause))
-	}
-	e.Send()
-}
-
-// logAttempt logs an attempt without a good answer. ctx is the work context.
-func (f *Forwarder) logAttempt(ctx context.Context, r *request, server grantedServer, res *result, action Action) {
-	f.event("attempt_failed", r).Str("server", string(server.ID)).Int("attempt", len(r.triedServers)+1).
-		Uint8("outcome", uint8(res.outcome)).Str("reason", res.reason).Uint8("action", uint8(action)).
-		Str("cancelled_by", endCause(ctx)).
-		Dur("work_ms", res.serviceTime).Dur("left_ms", time.Until(r.deadline)).Send()
-}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -19,6 +19,7 @@
 	"godwitlock.example/godwitlock/ingress"
 	"godwitlock.example/godwitlock/keyrange"
 	"godwitlock.example/godwitlock/permit"
+	"godwitlock.example/godwitlock/pushback"
 	"godwitlock.example/godwitlock/routemap"
 	"godwitlock.example/godwitlock/topo"
 	"godwitlock.example/godwitlock/view"
@@ -71,6 +72,8 @@
 	Fresh func() bool
 	// Budgets holds the retry budgets of the services.
 	Budgets *Budgets
+	// Pauses holds the servers that want no requests from this VM for some time.
+	Pauses *pushback.Table
 }
 
 // Forwarder answers callers' requests. It is safe for concurrent use.
@@ -88,6 +91,9 @@
 // New returns a Forwarder that accepts requests until RefuseWaiting is called.
 func New(cfg Config) *Forwarder {
 	f := &Forwarder{Config: cfg, splitter: routemap.NewSplitter()}
+	if f.Pauses == nil {
+		f.Pauses = &pushback.Table{}
+	}
 	f.stopCtx, f.stop = context.WithCancel(context.Background())
 	f.abandonCtx, f.abandon = context.WithCancel(context.Background())
 	return f
@@ -135,7 +141,10 @@
 	deadline      time.Time
 	deadlineCause error
 	triedServers  []topo.ServerID
-	hasBody       bool
+	// paused holds the servers of a service without keys that want no requests
+	// from this VM at present.
+	paused  []topo.ServerID
+	hasBody bool
 	// rateTokenTaken says that a token was taken from the customer's rate limit.
 	// The token is returned when the request did not run.
 	rateTokenTaken bool
--- a/node/node.go
+++ b/node/node.go
@@ -27,7 +27,9 @@
 	"godwitlock.example/godwitlock/metric"
 	"godwitlock.example/godwitlock/peer"
 	"godwitlock.example/godwitlock/permit"
+	"godwitlock.example/godwitlock/pushback"
 	"godwitlock.example/godwitlock/routemap"
+	"godwitlock.example/godwitlock/topo"
 	"godwitlock.example/godwitlock/view"
 )
 
@@ -85,6 +87,8 @@
 	rates        *fleet.Rates
 	assigner     *assigner
 	storeCalls   storeCallCounter
+	notices      *notices
+	pauses       pushback.Table
 
 	// startedAt is when the process started.
 	startedAt time.Time
@@ -135,6 +139,10 @@
 	n.reports = newReports(n.settings.VM, n.metrics)
 	n.rates = fleet.NewRates(n.settings.VM, n.view, n.peers)
 	n.egress = egress.New(n.platform.ServerHeaders())
+	n.notices = newNotices()
+	n.egress.OnNotice = n.serverNotice
+	n.platform.OnServerNotice(n.serverNotice)
+	n.hub.OnLeaving = func(id topo.Incarnation) { n.logLeaving(id, "vm") }
 	n.egress.OnConnect = func() { n.metrics.Count("server_connections", "", "") }
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	n.broker = broker.New(n.poolServers, 1, rng)
@@ -143,6 +151,7 @@
 		View: n.view, Egress: n.egress, RateLimiter: n.rates, Stats: n.reports, Log: n.log, Fresh: n.configFresh,
 		Slots:   fleet.NewSlots(n.settings.VM, n.settings.DataCentre, n.peers, n.broker, n.fallback),
 		Budgets: forward.NewBudgets(n.bounds().RetryShare*retryShareFraction, n.retrySlack),
+		Pauses:  &n.pauses,
 	})
 	n.ingress = ingress.NewServer(n.platform.CallerHeaders(), n.forward.Serve, n.callerLimits)
 	n.ingress.OnAnswerDropped, n.ingress.OnUnread = n.recordDroppedAnswer, n.recordUnread
@@ -323,6 +332,7 @@
 		{"lease", n.lease.Run},
 		{"follow", n.runFollow},
 		{"reports", n.runReports},
+		{"leaving", n.runLeaving},
 		{"rates", n.runRates},
 		{"assigner", n.assigner.Run},
 		{"home", n.broker.Run},
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -137,15 +137,16 @@
 // memPlatform is a Platform that has only an in-memory store.
 type memPlatform struct{ objects store.Objects }
 
-func (p memPlatform) Objects() store.Objects                       { return p.objects }
-func (memPlatform) CountCalls(func(string, string, time.Duration)) {}
-func (memPlatform) ConfigKey() string                              { return "config/main" }
-func (memPlatform) Prefixes() Prefixes                             { return Prefixes{} }
-func (memPlatform) InternalKey(kind, name string) string           { return kind + "/" + name }
-func (memPlatform) DecodeConfig([]byte) (routemap.Config, error)   { return routemap.Config{}, nil }
-func (memPlatform) Name(key string) string                         { return key }
-func (memPlatform) CallerHeaders() ingress.Headers                 { return ingress.Headers{} }
-func (memPlatform) ServerHeaders() egress.Headers                  { return egress.Headers{} }
+func (memPlatform) OnServerNotice(func(topo.Incarnation, egress.Notice)) {}
+func (p memPlatform) Objects() store.Objects                             { return p.objects }
+func (memPlatform) CountCalls(func(string, string, time.Duration))       {}
+func (memPlatform) ConfigKey() string                                    { return "config/main" }
+func (memPlatform) Prefixes() Prefixes                                   { return Prefixes{} }
+func (memPlatform) InternalKey(kind, name string) string                 { return kind + "/" + name }
+func (memPlatform) DecodeConfig([]byte) (routemap.Config, error)         { return routemap.Config{}, nil }
+func (memPlatform) Name(key string) string                               { return key }
+func (memPlatform) CallerHeaders() ingress.Headers                       { return ingress.Headers{} }
+func (memPlatform) ServerHeaders() egress.Headers                        { return egress.Headers{} }
 func (memPlatform) DecodeServer(store.Object, time.Time) (directory.Server, error) {
 	return directory.Server{}, nil
 }
--- a/node/reports.go
+++ b/node/reports.go
@@ -116,7 +116,7 @@
 	if leader.Addr == "" || leader.VM == n.settings.VM {
 		return
 	}
-	if err := n.follower.Report(ctx, leader.Addr, n.reports.take(interval)); err != nil {
+	if _, err := n.follower.Report(ctx, leader.Addr, n.reports.take(interval)); err != nil {
 		n.log.Event("report_failed").Str("leader", string(leader.VM)).Err(err).Send()
 	}
 }
--- a/node/settings.go
+++ b/node/settings.go
@@ -100,6 +100,9 @@
 	// response to a release. The error is only logged; the outcome is valid
 	// even if the error is not nil.
 	SendOrder(ctx context.Context, addr string, o ownership.Order) (ownership.Outcome, string, error)
+	// OnServerNotice registers f, which is called with what a server says about
+	// itself in a response to an order. It must be called before SendOrder.
+	OnServerNotice(f func(topo.Incarnation, egress.Notice))
 	CallerHeaders() ingress.Headers
 	ServerHeaders() egress.Headers
 }
--- a/permit/pool.go
+++ b/permit/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"godwitlock.example/godwitlock/topo"
@@ -39,6 +40,8 @@
 	// Avoid lists servers that have already been tried. It is ignored if it
 	// lists at least as many servers as the pool has.
 	Avoid []topo.ServerID
+	// Excluded lists servers whose slots must not be granted to the request.
+	Excluded []topo.ServerID
 	// DataCentre is the data centre that received the request. Its servers are
 	// preferred.
 	DataCentre topo.DataCentreName
@@ -252,7 +255,7 @@
 	var best *server
 	var bestCost float64
 	for _, s := range p.servers {
-		if !s.canStart(now) || avoided(r, s) && len(p.servers) > len(r.Avoid) {
+		if !s.canStart(now) || slices.Contains(r.Excluded, s.ID) || slices.Contains(r.Avoid, s.ID) && len(p.servers) > len(r.Avoid) {
 			continue
 		}
 		if cost := s.cost(now, r); best == nil || cost < bestCost || cost == bestCost && s.ID < best.ID {
@@ -281,15 +284,6 @@
 	return c
 }
 
-func avoided(r Request, s *server) bool {
-	for _, id := range r.Avoid {
-		if id == s.ID {
-			return true
-		}
-	}
-	return false
-}
-
 // estimateWait returns the estimated time until a new request starts; false if
 // every server is stalled. A request that will not start by PromptBy is
 // estimated as late, because prompt requests that arrive after it start before
--- a/standin/platform/site/server.go
+++ b/standin/platform/site/server.go
@@ -43,6 +43,9 @@
 	// before the response was ready.
 	OnRun    func(Run)
 	OnRunEnd func(r Run, finished bool)
+	// OnRefused, if set, is called for each request that Refuse made the server
+	// refuse.
+	OnRefused func(request string)
 	// OrderDelay, if set, returns the delay after which a grant or release
 	// is applied without a response. For 0, it is applied and answered at
 	// once.
@@ -58,6 +61,8 @@
 	heldRanges   []heldRange
 	highestFence map[int]int64
 	draining     bool
+	leaving      bool
+	pause        time.Duration
 }
 
 // Slots is the number of requests that each server runs at once.
@@ -114,6 +119,33 @@
 	s.draining = true
 }
 
+// Leave makes the server say in all its responses that it leaves. It goes on
+// serving.
+func (s *Server) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
+// Refuse makes the server refuse all requests and ask each caller for a pause, or
+// serve again for 0.
+func (s *Server) Refuse(pause time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pause = pause
+}
+
+// notice writes what the server says about itself to a response's header. It
+// returns the pause that the server wants.
+func (s *Server) notice(h http.Header) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving {
+		h.Set("Server-Leaving", "1")
+	}
+	return s.pause
+}
+
 type ownershipOrder struct {
 	From  int     `json:"from"`
 	To    int     `json:"target"`
@@ -134,6 +166,7 @@
 }
 
 func (s *Server) grant(w http.ResponseWriter, r *http.Request) {
+	s.notice(w.Header())
 	var o ownershipOrder
 	if json.NewDecoder(r.Body).Decode(&o) != nil || o.From > o.To {
 		w.WriteHeader(http.StatusBadRequest)
@@ -189,6 +222,7 @@
 }
 
 func (s *Server) release(w http.ResponseWriter, r *http.Request) {
+	s.notice(w.Header())
 	var o ownershipOrder
 	if json.NewDecoder(r.Body).Decode(&o) != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -222,6 +256,7 @@
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
 	w.Header().Set("Keep-Alive", "timeout=10")
+	pause := s.notice(w.Header())
 	key, _ := strconv.Atoi(r.Header.Get("Shard-Key"))
 	_, _ = io.Copy(io.Discard, r.Body)
 	if r.Header.Get("Expect-Instance") != s.ID || s.Keyed && !s.HoldsKey(key, time.Now()) {
@@ -229,6 +264,15 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if pause > 0 {
+		if s.OnRefused != nil {
+			s.OnRefused(id)
+		}
+		w.Header().Set("Not-Executed", "1")
+		w.Header().Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', 3, 64))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	select {
 	case s.slots <- struct{}{}:
 	default:
