view, spread: divide the pool of a large service over several home VMs

Change: above 64 slots the pool is divided by data centre and by the hash of the server's id, into parts of about 24 slots with a home in their data centre. The sender draws two parts by slots, takes the one with the shorter recent wait, and tries another part after a refusal. Homes follow the processor share of the VMs (weighted rendezvous hashing). A release costs one look-up; leases are checked every 20 ms.

--- a/forward/acquire.go
+++ b/forward/acquire.go
@@ -67,7 +67,36 @@
 			return grantedServer{}, ref
 		}
 	}
-	return f.acquireSlot(ctx, snap, r, view.PoolOf(r.service, owner))
+	if r.service.Keyed {
+		return f.acquireSlot(ctx, snap, r, view.ServerPool(owner))
+	}
+	return f.acquirePooled(ctx, snap, r)
+}
+
+// maxPoolsTried bounds the parts of a divided pool that a request is offered to.
+const maxPoolsTried = 2
+
+// acquirePooled waits for a slot of a service without keys. If one part of its pool
+// refuses the request, another one may have room.
+func (f *Forwarder) acquirePooled(ctx context.Context, snap *view.Snapshot, r *request) (grantedServer, *refusal) {
+	pools, tried := snap.PoolsOf(r.service.Name), []string(nil)
+	ref := &refusal{errkind.NoOwner, f.failureRetryAfter(r), "service has no usable server"}
+	for range maxPoolsTried {
+		began := clock.Boot()
+		pool, ok := f.spread.Choose(pools, f.DataCentre, tried, began)
+		if !ok {
+			break
+		}
+		var granted grantedServer
+		granted, ref = f.acquireSlot(ctx, snap, r, pool.Name)
+		now := clock.Boot()
+		f.spread.Observe(pool.Name, now.Sub(began), ref == nil, now)
+		if ref == nil || ref.kind != errkind.QueueFull || ctx.Err() != nil {
+			return granted, ref
+		}
+		tried = append(tried, pool.Name)
+	}
+	return grantedServer{}, ref
 }
 
 // contextWhileOwner returns a context that ends when the request's key is no
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -21,6 +22,7 @@
 	"godwitlock.example/godwitlock/permit"
 	"godwitlock.example/godwitlock/pushback"
 	"godwitlock.example/godwitlock/routemap"
+	"godwitlock.example/godwitlock/spread"
 	"godwitlock.example/godwitlock/topo"
 	"godwitlock.example/godwitlock/view"
 )
@@ -61,7 +63,9 @@
 
 // Config holds the dependencies of a Forwarder.
 type Config struct {
-	View        *view.View
+	View *view.View
+	// DataCentre is the data centre of this VM.
+	DataCentre  topo.DataCentreName
 	Egress      *egress.Client
 	Slots       Slots
 	RateLimiter RateLimiter
@@ -80,6 +84,7 @@
 type Forwarder struct {
 	Config
 	splitter *routemap.Splitter
+	spread   *spread.Chooser
 	// stopCtx ends when waiting requests are to be refused.
 	stopCtx context.Context
 	stop    context.CancelFunc
@@ -90,7 +95,9 @@
 
 // New returns a Forwarder that accepts requests until RefuseWaiting is called.
 func New(cfg Config) *Forwarder {
-	f := &Forwarder{Config: cfg, splitter: routemap.NewSplitter()}
+	f := &Forwarder{
+		Config: cfg, splitter: routemap.NewSplitter(), spread: spread.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+	}
 	if f.Pauses == nil {
 		f.Pauses = &pushback.Table{}
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -148,7 +148,7 @@
 	n.broker = broker.New(n.poolServers, 1, rng)
 	n.fallback = broker.New(n.poolServers, fallbackDivisor, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	n.forward = forward.New(forward.Config{
-		View: n.view, Egress: n.egress, RateLimiter: n.rates, Stats: n.reports, Log: n.log, Fresh: n.configFresh,
+		View: n.view, DataCentre: n.settings.DataCentre, Egress: n.egress, RateLimiter: n.rates, Stats: n.reports, Log: n.log, Fresh: n.configFresh,
 		Slots:   fleet.NewSlots(n.settings.VM, n.settings.DataCentre, n.peers, n.broker, n.fallback),
 		Budgets: forward.NewBudgets(n.bounds().RetryShare*retryShareFraction, n.retrySlack),
 		Pauses:  &n.pauses,
--- a/permit/pool.go
+++ b/permit/pool.go
@@ -83,12 +83,16 @@
 // Pool is a set of interchangeable servers with one queue.
 type Pool struct {
 	servers map[topo.ServerID]*server
-	queue   *queue
-	usage   *customerUsage
+	// runningAt holds the server of each granted request.
+	runningAt map[uint64]*server
+	queue     *queue
+	usage     *customerUsage
 	// arrivalRate is the rate of offered requests.
 	arrivalRate arrivalRate
 	// lastSweep is the time of the last pass over all queued requests.
-	lastSweep   time.Time
+	lastSweep time.Time
+	// lastExpiry is the time of the last pass over all granted requests.
+	lastExpiry  time.Time
 	rng         *rand.Rand
 	slotDivisor int
 }
@@ -99,7 +103,7 @@
 func New(rng *rand.Rand, slotDivisor int) *Pool {
 	usage := newUsage()
 	return &Pool{
-		servers: make(map[topo.ServerID]*server), queue: newQueue(usage), usage: usage, rng: rng, slotDivisor: slotDivisor,
+		servers: make(map[topo.ServerID]*server), runningAt: make(map[uint64]*server), queue: newQueue(usage), usage: usage, rng: rng, slotDivisor: slotDivisor,
 	}
 }
 
@@ -117,30 +121,24 @@
 		}
 		p.servers[e.ID] = newServer(e, now)
 	}
-	for id := range p.servers {
+	for id, s := range p.servers {
 		if !keep[id] {
 			delete(p.servers, id)
+			for request := range s.running {
+				delete(p.runningAt, request)
+			}
 		}
 	}
 }
 
 // Idle reports whether the pool has neither running nor queued requests.
 func (p *Pool) Idle() bool {
-	for _, s := range p.servers {
-		if len(s.running) > 0 {
-			return false
-		}
-	}
-	return p.queue.Len() == 0
+	return len(p.runningAt) == 0 && p.queue.Len() == 0
 }
 
 // Running returns the number of slots in use.
 func (p *Pool) Running() int {
-	n := 0
-	for _, s := range p.servers {
-		n += len(s.running)
-	}
-	return n
+	return len(p.runningAt)
 }
 
 // Waiting returns the number of queued requests.
@@ -173,14 +171,13 @@
 	if p.queue.remove(id) {
 		return
 	}
-	for _, s := range p.servers {
-		s.finish(now, id, Result{})
-	}
+	p.Finish(now, id, Result{})
 }
 
 // Finish frees the slot of a granted request and records its result.
 func (p *Pool) Finish(now time.Time, id uint64, r Result) {
-	for _, s := range p.servers {
+	if s := p.runningAt[id]; s != nil {
+		delete(p.runningAt, id)
 		s.finish(now, id, r)
 	}
 }
@@ -233,8 +230,12 @@
 }
 
 func (p *Pool) expire(now time.Time) {
+	if now.Sub(p.lastExpiry) < sweepInterval {
+		return
+	}
+	p.lastExpiry = now
 	for _, s := range p.servers {
-		s.expire(now)
+		s.expire(now, func(id uint64) { delete(p.runningAt, id) })
 	}
 	p.usage.decay(now)
 }
@@ -301,6 +302,7 @@
 
 func (p *Pool) grant(now time.Time, r Request, s *server) Decision {
 	s.start(now, r.ID, r.Lease)
+	p.runningAt[r.ID] = s
 	p.usage.add(r.Customer, s.serviceTime)
 	return Decision{ID: r.ID, Verdict: Granted, Server: s.ID}
 }
--- a/permit/server.go
+++ b/permit/server.go
@@ -145,11 +145,13 @@
 	}
 }
 
-// expire frees the slots whose lease has expired and counts each as a failure.
-func (s *server) expire(now time.Time) {
+// expire frees the slots whose lease has expired, counts each as a failure and calls
+// expired with its request.
+func (s *server) expire(now time.Time, expired func(id uint64)) {
 	for id, lease := range s.running {
 		if now.After(lease.expiry) {
 			delete(s.running, id)
+			expired(id)
 			s.failures++
 		}
 	}
--- a/view/homes.go
+++ b/view/homes.go
@@ -3,12 +3,10 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"math"
 	"slices"
-	"strings"
 	"sync"
 
-	"godwitlock.example/godwitlock/directory"
-	"godwitlock.example/godwitlock/routemap"
 	"godwitlock.example/godwitlock/topo"
 )
 
@@ -16,46 +14,9 @@
 // and those that replace it while it does not answer.
 const homeCandidates = 3
 
-// PoolOf returns the name of the slot pool for requests to a service: each
-// server of a keyed service has its own pool, and a service that is not keyed
-// has one pool. Server is used only for a keyed service.
-func PoolOf(svc *routemap.Service, server topo.ServerID) string {
-	if svc.Keyed {
-		return serverPoolPrefix + string(server)
-	}
-	return servicePoolPrefix + string(svc.Name)
-}
-
-// Prefixes of pool names.
-const serverPoolPrefix, servicePoolPrefix = "server/", "service/"
-
-// PoolDataCentre returns the data centre in which the home VM of a pool should
-// be. For the pool of one server it is the server's data centre, where the
-// server's answers arrive first. It is empty for the pool of a service and for an
-// unknown server.
-func (s *Snapshot) PoolDataCentre(pool string) topo.DataCentreName {
-	if id, ok := strings.CutPrefix(pool, serverPoolPrefix); ok {
-		if srv := s.Servers[topo.ServerID(id)]; srv != nil {
-			return srv.DataCentre
-		}
-	}
-	return ""
-}
-
-// PoolServers returns the usable servers whose slots belong to a pool.
-func (s *Snapshot) PoolServers(pool string) []*directory.Server {
-	if id, ok := strings.CutPrefix(pool, serverPoolPrefix); ok {
-		if srv := s.Usable(topo.ServerID(id)); srv != nil {
-			return []*directory.Server{srv}
-		}
-		return nil
-	}
-	return s.ServersOf(topo.ServiceName(strings.TrimPrefix(pool, servicePoolPrefix)))
-}
-
-// homeCache ranks the VMs for each name by rendezvous hashing, so that few home
-// VMs change when a VM joins or leaves. It caches the ranks and is safe for
-// concurrent use.
+// homeCache ranks the VMs for each name by weighted rendezvous hashing: a VM is home
+// of a share of the names that follows its processor share, and few home VMs change
+// when a VM joins or leaves. It caches the ranks and is safe for concurrent use.
 type homeCache struct {
 	members []Member
 
@@ -96,11 +57,11 @@
 	type candidate struct {
 		Member
 		isPreferred bool
-		score       uint64
+		score       float64
 	}
 	candidates := make([]candidate, len(members))
 	for i, m := range members {
-		candidates[i] = candidate{Member: m, isPreferred: m.DataCentre == preferred, score: score(name, m.VM)}
+		candidates[i] = candidate{Member: m, isPreferred: m.DataCentre == preferred, score: weightedScore(hash(name, string(m.VM)), m.CPUShare)}
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		if a.isPreferred != b.isPreferred {
@@ -118,19 +79,28 @@
 	return out
 }
 
-func score(name string, vm topo.VMID) uint64 {
+// weightedScore returns the rank of a VM for a name with the given hash, by which the
+// VM with the highest one is the first with a probability that follows its weight.
+func weightedScore(hash uint64, cpuShare float64) float64 {
+	if cpuShare <= 0 {
+		cpuShare = 1
+	}
+	// The fraction is above 0 and below 1.
+	fraction := (float64(hash>>11) + 0.5) / (1 << 53)
+	return -cpuShare / math.Log(fraction)
+}
+
+func hash(name, member string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(name))
 	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(vm))
+	_, _ = h.Write([]byte(member))
 	x := h.Sum64()
 	// FNV gives short names similar high bits; the steps below spread their
 	// differences over all bits.
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
 	return x ^ x>>33
 }
-
-// ServersOf returns the usable servers of a service, in the order of their ids.
-// Callers must not change the list.
-func (s *Snapshot) ServersOf(name topo.ServiceName) []*directory.Server { return s.usable[name] }
--- a/view/view.go
+++ b/view/view.go
@@ -47,6 +47,7 @@
 	// ServersVersion changes whenever Routes, Servers or Unusable do.
 	ServersVersion uint64
 	usable         map[topo.ServiceName][]*directory.Server
+	pools          map[topo.ServiceName][]Pool
 	Tables         map[topo.ServiceName]*keyrange.Table
 	Members        []Member
 	homes          *homeCache
@@ -227,7 +228,7 @@
 	// Tables change far more often than servers, so the servers are copied only
 	// when they or the routes changed.
 	if last := v.snapshot.Load(); last.Servers != nil && last.ServersVersion == s.ServersVersion {
-		s.Servers, s.Unusable, s.usable = last.Servers, last.Unusable, last.usable
+		s.Servers, s.Unusable, s.usable, s.pools = last.Servers, last.Unusable, last.usable, last.pools
 	} else {
 		s.copyServers(v.dir)
 	}
@@ -251,4 +252,5 @@
 	for _, list := range s.usable {
 		slices.SortFunc(list, func(a, b *directory.Server) int { return cmp.Compare(a.ID, b.ID) })
 	}
+	s.setPools()
 }
