platform: match the answers to orders by request id

Cause: orders carried no id, so an answer to a grant that a faulty server wrote once more on the kept connection was taken for the answer to a release behind it, and the keys could go to a second server while the first one still ran requests (OWNER).

Whether the users' servers echo the id of an order is not known yet.

--- a/standin/platform/site/server.go
+++ b/standin/platform/site/server.go
@@ -166,6 +166,7 @@
 }
 
 func (s *Server) grant(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	s.notice(w.Header())
 	var o ownershipOrder
 	if json.NewDecoder(r.Body).Decode(&o) != nil || o.From > o.To {
@@ -222,6 +223,7 @@
 }
 
 func (s *Server) release(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	s.notice(w.Header())
 	var o ownershipOrder
 	if json.NewDecoder(r.Body).Decode(&o) != nil {
