leader, fleet: few candidates for the lease, relays instead of reads by all VMs

Change: the first four VMs by size and data centre are candidates; the others read the lease seldom, spread, and acquire it only after a fresh read if no candidate does. While the leader does not answer, candidates read the store and relay configuration and directory to the others, which read it themselves only without a relay for 0.5 s more. A VM that hears of a new leader from a candidate need not read the lease.

--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -35,8 +35,8 @@
 	peers *peer.Pool
 	// setConfig decodes a configuration and applies it.
 	setConfig func(raw []byte, rev int64) error
-	// recordLeaseVersion records the version of the leader's lease in a term.
-	recordLeaseVersion func(term topo.Term, version uint64)
+	// recordLeaseVersion records the version of the lease of a leader in its term.
+	recordLeaseVersion func(holder view.Member, term topo.Term, version uint64)
 
 	mu           sync.Mutex
 	lastResponse time.Time
@@ -48,13 +48,14 @@
 	term             topo.Term
 	directoryVersion uint64
 	membersVersion   uint64
+	relay            relayState
 }
 
 // NewFollower returns a follower of the VM self, whose process is identified by
 // boot. setConfig decodes a configuration and applies it; recordLeaseVersion
-// records the version of the leader's lease in a term.
+// records the version of the lease of a leader in its term.
 func NewFollower(self view.Member, boot string, v *view.View, peers *peer.Pool,
-	setConfig func([]byte, int64) error, recordLeaseVersion func(topo.Term, uint64)) *Follower {
+	setConfig func([]byte, int64) error, recordLeaseVersion func(view.Member, topo.Term, uint64)) *Follower {
 	return &Follower{self: self, boot: boot, view: v, peers: peers, setConfig: setConfig, recordLeaseVersion: recordLeaseVersion}
 }
 
@@ -80,10 +81,11 @@
 	return time.Duration(len(f.view.Snapshot().Members)) * followPausePerVM
 }
 
-// Follow calls the leader at addr once, waits for changes and applies them to the
-// view. leaving tells the leader that this VM is about to stop. The error is
-// ErrNotLeader when the VM at addr is not the leader.
-func (f *Follower) Follow(ctx context.Context, addr string, leaving bool) error {
+// Follow calls the leader once, waits for changes and applies them to the view.
+// leaving tells the leader that this VM is about to stop. The error is ErrNotLeader
+// when the VM that was called is not the leader.
+func (f *Follower) Follow(ctx context.Context, leader view.Member, leaving bool) error {
+	addr := leader.Addr
 	conn, err := f.peers.Conn(addr)
 	if err != nil {
 		return err
@@ -98,7 +100,7 @@
 	if !resp.GetLeads() {
 		return errors.Annotatef(ErrNotLeader, "VM at %s", addr)
 	}
-	return f.apply(resp, sent)
+	return f.apply(leader, resp, sent)
 }
 
 func (f *Follower) request(leaving bool) *fleetpb.FollowRequest {
@@ -118,29 +120,20 @@
 	return req
 }
 
-func (f *Follower) apply(resp *fleetpb.FollowResponse, requestSent time.Time) error {
+func (f *Follower) apply(leader view.Member, resp *fleetpb.FollowResponse, requestSent time.Time) error {
 	confirmed := requestSent.Add(-millis(resp.GetAgeMs()))
-	if len(resp.GetConfigGzip()) > 0 {
-		raw, err := decompress(resp.GetConfigGzip())
-		if err != nil {
-			return err
-		}
-		if err := f.setConfig(raw, resp.GetConfigRev()); err != nil {
-			return err
-		}
+	if err := f.applyStoreState(resp); err != nil {
+		return err
 	}
 	if err := f.applyTables(resp); err != nil {
 		return err
 	}
 	now := clock.Boot()
-	if resp.GetServersRev() > 0 {
-		f.view.Directory(func(d *directory.Directory) { applyDirectory(d, resp, now) })
-	}
 	if len(resp.GetMembers()) > 0 {
 		f.view.SetMembers(resp.GetMembersVersion(), decodeMembers(resp))
 	}
 	f.view.Confirm(confirmed)
-	f.recordLeaseVersion(topo.Term(resp.GetTerm()), resp.GetLeaseVersion())
+	f.recordLeaseVersion(leader, topo.Term(resp.GetTerm()), resp.GetLeaseVersion())
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lastResponse, f.requestSent, f.storeContact, f.term = now, requestSent, now.Add(-millis(resp.GetStoreAgeMs())), topo.Term(resp.GetTerm())
--- a/fleet/hub.go
+++ b/fleet/hub.go
@@ -55,6 +55,9 @@
 	oldestStoreResponse func() time.Time
 	loads               Loads
 	configCompressor    configCompressor
+	// Relay, unless nil, says how this VM stands in for a leader that does not
+	// answer. It must be set before the hub is used.
+	Relay *Relay
 	// OnLeaving, unless nil, is called when a VM reports a server that leaves and
 	// that was not known to leave. It must be set before the hub is used.
 	OnLeaving func(topo.Incarnation)
@@ -172,7 +175,7 @@
 func (h *Hub) follow(ctx context.Context, req *fleetpb.FollowRequest) (*fleetpb.FollowResponse, error) {
 	term, leads := h.leads()
 	if !leads {
-		return &fleetpb.FollowResponse{}, nil
+		return h.relay(ctx, req)
 	}
 	timer := time.NewTimer(min(millis(req.GetWaitMs()), FollowWait))
 	defer timer.Stop()
@@ -229,20 +232,10 @@
 }
 
 func (h *Hub) response(req *fleetpb.FollowRequest, term topo.Term) (*fleetpb.FollowResponse, error) {
-	now := clock.Boot()
-	out := &fleetpb.FollowResponse{
-		Leads: true, Term: uint64(term), LeaseVersion: h.leaseVersion(),
-		AgeMs: now.Sub(h.view.Confirmed()).Milliseconds(), StoreAgeMs: now.Sub(h.oldestStoreResponse()).Milliseconds(),
-	}
-	raw, rev := h.view.Config()
-	if out.ConfigRev = rev; rev > req.GetConfigRev() {
-		compressed, err := h.configCompressor.compress(raw, rev)
-		if err != nil {
-			return nil, err
-		}
-		out.ConfigGzip = compressed
+	out := &fleetpb.FollowResponse{Leads: true, Term: uint64(term), LeaseVersion: h.leaseVersion()}
+	if err := h.fillStoreState(out, req, term); err != nil {
+		return nil, err
 	}
-	h.view.Directory(func(d *directory.Directory) { fillDirectory(out, d, req, term, now) })
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if out.MembersVersion = h.membersVersion; h.discovered && h.membersVersion != req.GetMembersVersion() {
@@ -263,6 +256,23 @@
 	return out, nil
 }
 
+// fillStoreState adds the configuration and the directory to a response, as far as
+// the follower lacks them, and their ages.
+func (h *Hub) fillStoreState(out *fleetpb.FollowResponse, req *fleetpb.FollowRequest, term topo.Term) error {
+	now := clock.Boot()
+	out.AgeMs, out.StoreAgeMs = now.Sub(h.view.Confirmed()).Milliseconds(), now.Sub(h.oldestStoreResponse()).Milliseconds()
+	raw, rev := h.view.Config()
+	if out.ConfigRev = rev; rev > req.GetConfigRev() {
+		compressed, err := h.configCompressor.compress(raw, rev)
+		if err != nil {
+			return err
+		}
+		out.ConfigGzip = compressed
+	}
+	h.view.Directory(func(d *directory.Directory) { fillDirectory(out, d, req, term, now) })
+	return nil
+}
+
 func fillDirectory(out *fleetpb.FollowResponse, d *directory.Directory, req *fleetpb.FollowRequest, term topo.Term, now time.Time) {
 	out.DirectoryVersion = d.Version()
 	if !directoryOutdated(d, req, term) {
@@ -270,7 +280,7 @@
 	}
 	out.ServersRev, out.EvacuationRev = d.Rev(), d.EvacuationRev()
 	removed, known := d.RemovedSince(req.GetDirectoryVersion())
-	out.Complete = !known || topo.Term(req.GetTerm()) != term
+	out.Complete = !known || topo.Term(req.GetTerm()) != term || req.GetDirectoryVersion() == 0
 	for _, id := range removed {
 		out.Ids = append(out.Ids, string(id))
 	}
--- a/leader/lease.go
+++ b/leader/lease.go
@@ -89,14 +89,15 @@
 // the lease. It does no I/O and reads no clock: the caller carries out the steps
 // and reports the results. It is not safe for concurrent use.
 type Lease struct {
-	self Identity
-	// delay is the time to wait before acquiring a free or expired lease.
-	delay time.Duration
+	self      Identity
+	candidacy Candidacy
 	// current is the newest version observed, and firstObserved the time of its
 	// first observation. observed is false while current must not be relied on.
 	current       VersionedRecord
 	firstObserved time.Time
 	observed      bool
+	// lastObserved is the time of the last observation, also of the same version.
+	lastObserved time.Time
 	// expiry is the end of the lease; zero if this process does not hold it.
 	expiry time.Time
 	// lastWriteSent is the time at which the last write was sent, and
@@ -111,10 +112,8 @@
 	predecessorSettled bool
 }
 
-// New returns a Lease that has not yet observed the stored lease. It waits for
-// delay before it acquires a free or expired lease. Large VMs are given a shorter
-// delay, so that they become leader before small ones.
-func New(self Identity, delay time.Duration) *Lease { return &Lease{self: self, delay: delay} }
+// New returns a Lease that has not yet observed the stored lease.
+func New(self Identity, c Candidacy) *Lease { return &Lease{self: self, candidacy: c} }
 
 // Holds returns the term of the lease and true if the process holds the lease at
 // now.
@@ -125,9 +124,8 @@
 	return l.current.Record.Term, true
 }
 
-// SetTakeoverDelay changes the time for which the process waits before it
-// acquires a free or expired lease.
-func (l *Lease) SetTakeoverDelay(delay time.Duration) { l.delay = delay }
+// SetCandidacy changes how the process takes part in the election of a leader.
+func (l *Lease) SetCandidacy(c Candidacy) { l.candidacy = c }
 
 // PredecessorSettled reports whether the process acquired the lease from a holder
 // none of whose orders can still take effect.
@@ -163,7 +161,7 @@
 		return l.renew(now)
 	}
 	l.expiry = time.Time{}
-	if l.resigning || !l.mayAcquire(now) {
+	if l.resigning || !l.mayAcquire(now) || l.candidacy.isReserve() && now.Sub(l.lastObserved) > recentRead {
 		return Step{Action: Read}
 	}
 	l.predecessorSettled = l.current.Record.Settled
@@ -195,17 +193,18 @@
 	holder := l.current.Record.Holder
 	switch {
 	case holder == Identity{}:
-		return now.Sub(l.firstObserved) >= l.delay
+		return now.Sub(l.firstObserved) >= l.candidacy.Delay
 	case holder.VM == l.self.VM && holder.Addr == l.self.Addr:
 		// The holder was an earlier process on this VM, which has ended.
 		return true
 	}
-	return now.Sub(l.firstObserved) > time.Duration(float64(TTL)*(1+MaxDrift))+l.delay
+	return now.Sub(l.firstObserved) > time.Duration(float64(TTL)*(1+MaxDrift))+l.candidacy.Delay
 }
 
 // Observed records the result of a read. Version 0 means that the lease does not
 // exist yet.
 func (l *Lease) Observed(now time.Time, seen VersionedRecord) {
+	l.lastObserved = now
 	if l.observed && seen.Version < l.current.Version {
 		l.nextActionAt = now.Add(pollInterval)
 		return
@@ -228,13 +227,17 @@
 
 // HeartbeatReceived records that the holder of the lease in a term reported the
 // version of its lease. It counts as a read of that version, so that the process
-// need not read the store. A report of another term or an older version is
+// need not read the store. A report of an earlier term or an older version is
 // ignored.
-func (l *Lease) HeartbeatReceived(now time.Time, term topo.Term, version uint64) {
-	if !l.observed || l.current.Record.Term != term || version < l.current.Version {
+func (l *Lease) HeartbeatReceived(now time.Time, holder Identity, term topo.Term, version uint64) {
+	record := l.current.Record
+	switch {
+	case version < l.current.Version || term < record.Term || holder.VM == l.self.VM:
 		return
+	case term > record.Term || !l.observed:
+		record = Record{Term: term, Holder: holder}
 	}
-	l.Observed(now, VersionedRecord{Record: l.current.Record, Version: version})
+	l.Observed(now, VersionedRecord{Record: record, Version: version})
 	l.nextActionAt = now.Add(heartbeatPollInterval)
 }
 
@@ -247,12 +250,12 @@
 		return 0
 	}
 	if l.current.Record.Holder == (Identity{}) {
-		return min(urgentPollInterval, l.delay)
+		return max(min(urgentPollInterval, l.candidacy.Delay), l.candidacy.Poll)
 	}
 	if now.Sub(l.firstObserved) > TTL/2 || l.urgent {
-		return urgentPollInterval
+		return max(urgentPollInterval, l.candidacy.Poll)
 	}
-	return pollInterval
+	return max(pollInterval, l.candidacy.Poll)
 }
 
 // Urgent reports whether the process expects a change of the leader. Reads must
@@ -262,8 +265,8 @@
 // LeadershipDenied records that the presumed holder replied that it is not the
 // leader. It turns on urgent polling and makes the next step due immediately.
 func (l *Lease) LeadershipDenied(now time.Time) {
-	l.urgent = true
-	if l.expiry.IsZero() {
+	l.SetUrgent(true, now)
+	if l.expiry.IsZero() && !l.candidacy.isReserve() {
 		l.nextActionAt = now
 	}
 }
@@ -272,7 +275,7 @@
 // which it should while it has no contact with the leader.
 func (l *Lease) SetUrgent(urgent bool, now time.Time) {
 	if urgent && !l.urgent && l.expiry.IsZero() {
-		l.nextActionAt = now
+		l.nextActionAt = now.Add(l.candidacy.FirstPoll)
 	}
 	l.urgent = urgent
 }
--- a/leader/lease_test.go
+++ b/leader/lease_test.go
@@ -46,7 +46,7 @@
 // has expired.
 func TestTakeoverWaitsForLeaseExpiry(t *testing.T) {
 	s := &fakeStore{}
-	a, b := New(identity("a"), 0), New(identity("b"), 0)
+	a, b := New(identity("a"), Candidacy{}), New(identity("b"), Candidacy{})
 	acquire(t, a, s, start)
 	b.Observed(start, VersionedRecord{Record: s.record, Version: s.version})
 	for now := start; now.Before(start.Add(TTL)); now = now.Add(50 * time.Millisecond) {
@@ -65,7 +65,7 @@
 // acquisition conflicts with the first.
 func TestLostAcquisitionCountsFromTheFirstWrite(t *testing.T) {
 	s := &fakeStore{}
-	l := New(identity("a"), 0)
+	l := New(identity("a"), Candidacy{})
 	l.Observed(start, VersionedRecord{})
 	step := l.Next(start)
 	require.True(t, s.put(step.Version, step.Next)) // took effect, but the response is lost
@@ -83,8 +83,8 @@
 // process on its VM to expire.
 func TestRestartedProcessTakesOverAtOnce(t *testing.T) {
 	s := &fakeStore{}
-	acquire(t, New(identity("a"), 0), s, start)
-	again := New(Identity{VM: "a", Boot: "second", Addr: "a:1"}, 0)
+	acquire(t, New(identity("a"), Candidacy{}), s, start)
+	again := New(Identity{VM: "a", Boot: "second", Addr: "a:1"}, Candidacy{})
 	now := start.Add(100 * time.Millisecond)
 	again.Observed(now, VersionedRecord{Record: s.record, Version: s.version})
 	require.Equal(t, Write, again.Next(now).Action)
@@ -93,7 +93,7 @@
 // Guards against a process that acquires the lease again after it has resigned.
 func TestResignedProcessNeverLeadsAgain(t *testing.T) {
 	s := &fakeStore{}
-	l := New(identity("a"), 0)
+	l := New(identity("a"), Candidacy{})
 	acquire(t, l, s, start)
 	l.Resign(start, true)
 	step := l.Next(start)
@@ -113,9 +113,9 @@
 // Guards against a VM that waits for its next poll of the lease although the
 // presumed holder has replied that it is not the leader.
 func TestLeadershipDeniedTriggersUrgentRead(t *testing.T) {
-	l := New(identity("b"), 0)
+	l := New(identity("b"), Candidacy{})
 	l.Observed(start, VersionedRecord{Record: Record{Term: 3, Holder: identity("a")}, Version: 9})
-	l.HeartbeatReceived(start, 3, 9)
+	l.HeartbeatReceived(start, identity("a"), 3, 9)
 	require.Equal(t, Wait, l.Next(start.Add(100*time.Millisecond)).Action)
 	l.LeadershipDenied(start.Add(100 * time.Millisecond))
 	require.Equal(t, Read, l.Next(start.Add(100*time.Millisecond)).Action)
@@ -126,7 +126,7 @@
 // the lease as settled, or that takes any other free lease for a settled one.
 func TestPredecessorSettledFollowsReleasedLease(t *testing.T) {
 	for _, settled := range []bool{true, false} {
-		l := New(identity("b"), 0)
+		l := New(identity("b"), Candidacy{})
 		l.Observed(start, VersionedRecord{Record: Record{Term: 3, Settled: settled}, Version: 9})
 		require.Equal(t, Write, l.Next(start).Action)
 		require.Equal(t, settled, l.PredecessorSettled())
@@ -144,19 +144,32 @@
 
 // Guards against two processes that hold the lease at the same time, with
 // clock drift, delayed writes, lost responses and paused processes.
-func TestOneHolderAtATime(t *testing.T) {
+func TestOneHolderAtATime(t *testing.T) { checkOneHolder(t, false) }
+
+// Guards against the same where VMs hear of the holder from each other, and where
+// some acquire the lease only if no candidate does.
+func TestOneHolderAtATimeWithHeartbeats(t *testing.T) { checkOneHolder(t, true) }
+
+func checkOneHolder(t *testing.T, heartbeats bool) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := &fakeStore{}
 		var ps []*process
 		for i, name := range []string{"a", "b", "c"} {
 			drift := rapid.Float64Range(-MaxDrift/2, MaxDrift/2).Draw(t, "skew")
-			ps = append(ps, &process{lease: New(identity(name), 0), drift: drift, paused: i == 9})
+			rank := 0
+			if heartbeats {
+				rank = rapid.SampledFrom([]int{0, 1, MaxCandidates, MaxCandidates + 1}).Draw(t, "rank")
+			}
+			ps = append(ps, &process{lease: New(identity(name), CandidacyOf(rank, 12)), drift: drift, paused: i == 9})
 		}
 		elapsed := time.Duration(0)
 		for range 300 {
 			elapsed += time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond
 			p := ps[rapid.IntRange(0, len(ps)-1).Draw(t, "process")]
 			stepProcess(t, s, p, p.clock(elapsed))
+			if heartbeats {
+				hear(t, ps, p, elapsed)
+			}
 			holders := 0
 			for _, p := range ps {
 				if _, ok := p.lease.Holds(p.clock(elapsed)); ok {
@@ -170,6 +183,14 @@
 	})
 }
 
+// hear lets a process receive a heartbeat of another one that holds the lease.
+func hear(t *rapid.T, ps []*process, p *process, elapsed time.Duration) {
+	q := ps[rapid.IntRange(0, len(ps)-1).Draw(t, "heard")]
+	if term, holds := q.lease.Holds(q.clock(elapsed)); holds && q != p && p.pending == nil {
+		p.lease.HeartbeatReceived(p.clock(elapsed), q.lease.Current().Holder, term, q.lease.Version())
+	}
+}
+
 func (p *process) clock(elapsed time.Duration) time.Time {
 	return start.Add(time.Duration(float64(elapsed) * (1 + p.drift)))
 }
--- a/node/lease.go
+++ b/node/lease.go
@@ -14,6 +14,7 @@
 	"godwitlock.example/godwitlock/leader"
 	"godwitlock.example/godwitlock/store"
 	"godwitlock.example/godwitlock/topo"
+	"godwitlock.example/godwitlock/view"
 )
 
 // leaseCallTimeout bounds a store call for the lease. It is short enough that a
@@ -29,19 +30,18 @@
 	// leaderStale reports whether the leader does not respond or has lost
 	// contact with the store.
 	leaderStale func() bool
-	// yieldDelay returns how long this VM waits before it tries to acquire an
-	// expired or released lease, so that a larger VM can acquire it first.
-	yieldDelay func() time.Duration
-	wake       chan struct{}
+	// candidacy returns how this VM takes part in the election of a leader.
+	candidacy func() leader.Candidacy
+	wake      chan struct{}
 
 	mu            sync.Mutex
 	lease         *leader.Lease
 	loggedLeading bool
 }
 
-func newLeaseManager(objects store.Objects, key string, self leader.Identity, yieldDelay func() time.Duration, log *declog.Log, leaderStale func() bool) *leaseManager {
+func newLeaseManager(objects store.Objects, key string, self leader.Identity, candidacy func() leader.Candidacy, log *declog.Log, leaderStale func() bool) *leaseManager {
 	return &leaseManager{
-		objects: objects, key: key, log: log, leaderStale: leaderStale, yieldDelay: yieldDelay, lease: leader.New(self, yieldDelay()), wake: make(chan struct{}, 1),
+		objects: objects, key: key, log: log, leaderStale: leaderStale, candidacy: candidacy, lease: leader.New(self, candidacy()), wake: make(chan struct{}, 1),
 	}
 }
 
@@ -68,10 +68,10 @@
 
 // RecordLeaseVersion records the version of the lease object that the leader of
 // the term reported.
-func (m *leaseManager) RecordLeaseVersion(term topo.Term, version uint64) {
+func (m *leaseManager) RecordLeaseVersion(holder view.Member, term topo.Term, version uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.lease.HeartbeatReceived(clock.Boot(), term, version)
+	m.lease.HeartbeatReceived(clock.Boot(), leader.Identity{VM: holder.VM, Addr: holder.Addr}, term, version)
 }
 
 // HandedOver reports whether the lease was acquired from a holder that had
@@ -113,7 +113,7 @@
 		m.mu.Lock()
 		now := clock.Boot()
 		m.lease.SetUrgent(leaderStale, now)
-		m.lease.SetTakeoverDelay(m.yieldDelay())
+		m.lease.SetCandidacy(m.candidacy())
 		step := m.lease.Next(now)
 		m.mu.Unlock()
 		switch step.Action {
--- a/node/node.go
+++ b/node/node.go
@@ -88,7 +88,10 @@
 	assigner     *assigner
 	storeCalls   storeCallCounter
 	notices      *notices
-	pauses       pushback.Table
+	// lastCandidate is the index of the candidate that answered last; only
+	// runCandidates uses it.
+	lastCandidate int
+	pauses        pushback.Table
 
 	// startedAt is when the process started.
 	startedAt time.Time
@@ -130,11 +133,14 @@
 	n.peers = peer.NewPool(insecure.NewCredentials(), nil)
 	n.lease = newLeaseManager(n.platform.Objects(), n.platform.InternalKey("leader", "lease"),
 		leader.Identity{VM: n.settings.VM, Boot: boot, Addr: n.settings.PeerAddr},
-		func() time.Duration { return leaseYieldDelay(n.settings.CPUShare, n.view.Snapshot().Members) }, n.log, n.leaderStale)
+		func() leader.Candidacy {
+			return candidacyOf(n.settings.VM, n.settings.CPUShare, n.view.Snapshot().Members)
+		}, n.log, n.leaderStale)
 	n.follower = fleet.NewFollower(self, boot, n.view, n.peers, n.setConfig, n.lease.RecordLeaseVersion)
 	n.loads = newLoads(n.view)
 	n.assigner = newAssigner(n, n.loads)
 	n.hub = fleet.NewHub(n.view, self, n.lease.Leads, n.lease.Version, n.oldestStoreResponse, n.loads)
+	n.hub.Relay = n.relay(boot)
 	n.watchers = n.newWatchers()
 	n.reports = newReports(n.settings.VM, n.metrics)
 	n.rates = fleet.NewRates(n.settings.VM, n.view, n.peers)
@@ -247,10 +253,13 @@
 	return now.Sub(lastResponse) > maxLeaderSilence+followPause || now.Sub(storeContact) > maxLeaderStoreAge+followPause
 }
 
-// needsStore reports whether this VM has to read the store itself.
+// needsStore reports whether this VM has to read the store itself: it leads, or the
+// leader is stale and this VM is a candidate or has no relay.
 func (n *Node) needsStore() bool {
-	_, leads := n.lease.Leads()
-	return leads || n.leaderStale()
+	if _, leads := n.lease.Leads(); leads {
+		return true
+	}
+	return n.leaderStale() && (n.isCandidate() || n.relayStale())
 }
 
 // oldestStoreResponse returns the earliest of the times at which the store last
@@ -273,24 +282,36 @@
 // runFollow keeps this VM's state up to date with the leader's until ctx ends.
 func (n *Node) runFollow(ctx context.Context) error {
 	for ctx.Err() == nil {
-		l := n.lease.Leader()
-		if _, leads := n.lease.Leads(); leads || l.Addr == "" || l.VM == n.settings.VM {
+		if _, leads := n.lease.Leads(); leads {
 			pause(ctx, followRetryDelay)
 			continue
 		}
-		if err := n.follower.Follow(ctx, l.Addr, n.stopping.Load()); err != nil {
-			n.log.Event("leader_unheard").Str("leader", string(l.VM)).Err(err).Send()
-			if errors.Is(err, fleet.ErrNotLeader) {
-				n.lease.RecordNotLeader()
-			}
-			pause(ctx, followRetryDelay)
+		if n.followLeader(ctx) {
+			pause(ctx, n.follower.FollowPause())
 			continue
 		}
-		pause(ctx, n.follower.FollowPause())
+		pause(ctx, followRetryDelay)
 	}
 	return ctx.Err()
 }
 
+// followLeader calls the leader, if there is one, and reports whether it answered.
+func (n *Node) followLeader(ctx context.Context) bool {
+	l := n.lease.Leader()
+	if l.Addr == "" || l.VM == n.settings.VM {
+		return false
+	}
+	err := n.follower.Follow(ctx, view.Member{VM: l.VM, Addr: l.Addr}, n.stopping.Load())
+	if err == nil {
+		return true
+	}
+	n.log.Event("leader_unheard").Str("leader", string(l.VM)).Err(err).Send()
+	if errors.Is(err, fleet.ErrNotLeader) {
+		n.lease.RecordNotLeader()
+	}
+	return false
+}
+
 // task adapts a function to suture.Service.
 type task struct {
 	name string
@@ -331,6 +352,7 @@
 		{"log", n.log.Run},
 		{"lease", n.lease.Run},
 		{"follow", n.runFollow},
+		{"candidates", n.runCandidates},
 		{"reports", n.runReports},
 		{"leaving", n.runLeaving},
 		{"rates", n.runRates},
