--- a/standin/platform/site/server.go
+++ b/standin/platform/site/server.go
@@ -166,7 +166,6 @@
 }
 
 func (s *Server) grant(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	s.notice(w.Header())
 	var o ownershipOrder
 	if json.NewDecoder(r.Body).Decode(&o) != nil || o.From > o.To {
@@ -223,7 +222,6 @@
 }
 
 func (s *Server) release(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	s.notice(w.Header())
 	var o ownershipOrder
 	if json.NewDecoder(r.Body).Decode(&o) != nil {
@@ -239,7 +237,7 @@
 	apply()
 	// Respond only after ServiceTime, when the short requests in flight have ended.
 	time.Sleep(s.ServiceTime)
-	w.Header().Set("Handover", fmt.Sprintf("%s-%d", s.ID, o.From))
+	w.Header().Set("Handover", fmt.Sprintf("%s-%d-%d-%d", s.ID, o.From, o.To, o.Fence))
 }
 
 // HoldsKey reports whether the server holds a key at the given time.
