forward: log what was decided for cancelled requests

Cause: action said 'sent again' for requests that were cancelled and not sent again, which also took a retry from the budget; config_age_ms was before the first configuration.

Change: a cancelled request has no further attempt; the age is left out.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -69,6 +69,10 @@
 		if res.outcome == Answered {
 			return f.deliver(workCtx, r, server, res, cancel), true
 		}
+		if waitCtx.Err() != nil {
+			// The request is cancelled: it is not sent again.
+			r.attempts.Max = 0
+		}
 		action := r.attempts.NextAction(time.Now(), res.outcome, func() bool { return f.Budgets.Withdraw(r.service.Name) })
 		if r.hasBody && action != Relay {
 			// The body is streamed, and the attempt consumed it.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -258,9 +258,12 @@
 	if r.ID != "" {
 		ans.Header.Set("Request-Id", r.ID)
 	}
-	f.event("refused", r).Str("kind", row.Name).Int("status", row.Status).Str("reason", reason).
-		Str("stage", r.Progress.Stage().String()).Dur("retry_after_ms", retryAfter).Dur("took_ms", time.Since(r.Arrived)).
-		Dur("config_age_ms", clock.Boot().Sub(f.View.Confirmed())).Send()
+	e := f.event("refused", r).Str("kind", row.Name).Int("status", row.Status).Str("reason", reason).
+		Str("stage", r.Progress.Stage().String()).Dur("retry_after_ms", retryAfter).Dur("took_ms", time.Since(r.Arrived))
+	if confirmed := f.View.Confirmed(); !confirmed.IsZero() {
+		e.Dur("config_age_ms", clock.Boot().Sub(confirmed))
+	}
+	e.Send()
 	f.Stats.Answered(r.routeName(), row.Name, time.Since(r.Arrived))
 	return ans
 }
