backend: close the connection of a refusal

Cause: a request that was refused may be sent again with its id on the same connection, where the refusal written once more matches it (own interface).

Change: the connection of a refusal is closed instead of reused.

--- a/backend/client.go
+++ b/backend/client.go
@@ -25,11 +25,6 @@
 	// or more). If a server closes a connection first, a request that is being
 	// sent on it ends with an unknown outcome.
 	idleTimeout = 30 * time.Second
-	// maxRefusalBodyBytes limits how much of the body of a Not-Run response is
-	// read in order to reuse its connection.
-	maxRefusalBodyBytes = 4 << 10
-	// refusalBodyTimeout bounds the wait for that body.
-	refusalBodyTimeout = 50 * time.Millisecond
 	// ioBufferBytes is the size of each connection's read buffer and of its
 	// write buffer.
 	ioBufferBytes = 32 << 10
@@ -128,7 +123,9 @@
 			"the response belongs to another request", nil)
 	}
 	if refused(resp) {
-		ex.discard(resp)
+		// The request may be sent again with the same id, and the refusal written once
+		// more must not match that.
+		ex.abandon(resp)
 		return nil, execution.Fail(execution.ServerNotRun, errkind.ServerRefused,
 			"the backend server refused the request", errors.Errorf("status %d", resp.StatusCode))
 	}
--- a/backend/message.go
+++ b/backend/message.go
@@ -163,20 +163,6 @@
 	ex.finish()
 }
 
-// errSlowRefusal cancels an exchange whose refusal has a body that does not end.
-var errSlowRefusal = errors.New("body of the refusal did not end in time")
-
-// discard reads a short body to its end, so that the connection can be reused,
-// and ends the exchange. It closes the connection if the body does not end within
-// refusalBodyTimeout.
-func (ex *exchange) discard(resp *http.Response) {
-	timer := time.AfterFunc(refusalBodyTimeout, func() { ex.cancel(errSlowRefusal) })
-	defer timer.Stop()
-	_, _ = io.CopyN(io.Discard, resp.Body, maxRefusalBodyBytes)
-	_ = resp.Body.Close()
-	ex.finish()
-}
-
 func (ex *exchange) finish() {
 	ex.cancel(nil)
 	ex.reqBody.detach()
