placement: spread a busy stretch over all servers from the start

Cause: each server got one range of keys at first.

The tests of Plan start from one range each as before (oneRangeEach).

--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -43,7 +43,7 @@
 		load.addRate(keyrange.Key(k), rate*float64(n)/375)
 	}
 	var table []Range
-	for i, r := range Initial(servers) {
+	for i, r := range oneRangeEach(servers) {
 		mid := r.First + (r.Last-r.First)/2
 		table = append(table, Range{First: r.First, Last: mid, Owner: r.Owner},
 			Range{First: mid + 1, Last: r.Last, Owner: servers[(i*7+3)%n].ID})
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -172,28 +172,6 @@
 
 func (r Range) keyCount() int { return int(r.Last) - int(r.First) + 1 }
 
-// Initial divides all keys among servers in proportion to their slots, in the
-// order of the server IDs.
-func Initial(servers []Server) []Range {
-	servers = slices.Clone(servers)
-	slices.SortFunc(servers, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
-	slots := 0
-	for _, s := range servers {
-		slots += s.Slots
-	}
-	var out []Range
-	next, slotsBefore := 0, 0
-	for _, s := range servers {
-		slotsBefore += s.Slots
-		end := keyrange.KeyCount * slotsBefore / slots
-		if end > next {
-			out = append(out, Range{First: keyrange.Key(next), Last: keyrange.Key(end - 1), Owner: s.ID})
-			next = end
-		}
-	}
-	return out
-}
-
 // Targets chooses a server for each of the unowned ranges: the one whose cost
 // grows least, where the fraction of all keys that a server owns counts as a
 // small extra cost. Each range counts as load of its new server before the next
--- a/placement/plan_test.go
+++ b/placement/plan_test.go
@@ -22,12 +22,29 @@
 	table   []Range
 }
 
+// oneRangeEach divides all keys among servers in proportion to their slots, with one
+// range each.
+func oneRangeEach(servers []Server) []Range {
+	slots, slotsBefore, next := 0, 0, 0
+	for _, s := range servers {
+		slots += s.Slots
+	}
+	var out []Range
+	for _, s := range servers {
+		slotsBefore += s.Slots
+		end := keyrange.KeyCount * slotsBefore / slots
+		out = append(out, Range{First: keyrange.Key(next), Last: keyrange.Key(end - 1), Owner: s.ID})
+		next = end
+	}
+	return out
+}
+
 func newCluster(n int) *cluster {
 	s := &cluster{load: NewLoad()}
 	for i := range n {
 		s.servers = append(s.servers, Server{ID: topo.ServerID(fmt.Sprintf("s%02d", i)), Slots: 3})
 	}
-	s.table = Initial(s.servers)
+	s.table = oneRangeEach(s.servers)
 	s.load.Decay(start)
 	return s
 }
@@ -111,6 +128,7 @@
 func TestInitialCoversAllKeys(t *testing.T) {
 	for _, n := range []int{1, 2, 7, 34, 342} {
 		requireFullCoverage(t, newCluster(n).table)
+		requireFullCoverage(t, Initial(newCluster(n).servers))
 	}
 }
 
