--- a/node/assigner.go
+++ b/node/assigner.go
@@ -3,15 +3,10 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
 
-	"github.com/google/uuid"
-	"github.com/juju/errors"
-
 	"godwitlock.example/godwitlock/clock"
 	"godwitlock.example/godwitlock/directory"
-	"godwitlock.example/godwitlock/fleet"
 	"godwitlock.example/godwitlock/keyrange"
 	"godwitlock.example/godwitlock/ownership"
 	"godwitlock.example/godwitlock/placement"
@@ -191,49 +186,6 @@
 	return leads && term == a.term
 }
 
-// adoptTables loads the stored tables. Each table is written again under the new
-// term, so that a delayed write of an earlier leader fails.
-func (a *assigner) adoptTables(ctx context.Context, start time.Time) bool {
-	ctx, cancel := context.WithTimeout(ctx, tableCallTimeout)
-	defer cancel()
-	l, err := a.node.platform.Objects().List(ctx, a.node.platform.InternalKey("tables", ""))
-	if err != nil {
-		a.node.log.Event("tables_unread").Err(err).Send()
-		return false
-	}
-	settled := a.node.lease.HandedOver()
-	for _, o := range l.Objects {
-		t, err := keyrange.Decode(o.Value)
-		if err != nil {
-			a.node.log.Event("table_unreadable").Str("object", o.Key).Err(err).Send()
-			return false
-		}
-		if a.machines[t.Service] != nil {
-			continue
-		}
-		t.Term = a.term
-		version, err := a.putTable(ctx, t, o.Version)
-		if err != nil {
-			a.node.log.Event("table_unwritten").Str("service", string(t.Service)).Err(err).Send()
-			return false
-		}
-		a.machines[t.Service] = ownership.New(start, t, version, a.node.bounds().MaxHold, settled)
-		a.node.log.Event("table_adopted").Str("service", string(t.Service)).Int("ranges", len(t.Ranges)).
-			Bool("settled", settled).Send()
-	}
-	return true
-}
-
-func (a *assigner) putTable(ctx context.Context, t *keyrange.Table, version uint64) (uint64, error) {
-	data, err := t.Encode()
-	if err != nil {
-		return 0, err
-	}
-	key := a.node.platform.InternalKey("tables", string(t.Service))
-	o, err := a.node.platform.Objects().Put(ctx, key, data, version, uuid.NewString())
-	return o.Version, err
-}
-
 // runRound expires old state and issues the orders that are due.
 func (a *assigner) runRound() {
 	now := clock.Boot()
@@ -398,95 +350,6 @@
 		Uint16("last", h.Last).Str("from", string(h.Server)).Str("to", string(h.Target)).Send()
 }
 
-// startTableWrite writes the pending table of a machine in the background. Changes
-// within the write interval are combined into one write, because calls to the
-// store are expensive.
-func (a *assigner) startTableWrite(now time.Time, m *ownership.Machine, servers int) {
-	if now.Sub(a.lastTableWrite[m]) < minTableWriteInterval+time.Duration(servers)*tableWriteIntervalPerServer {
-		return
-	}
-	t, version, ok := m.Pending()
-	if !ok {
-		return
-	}
-	a.lastTableWrite[m] = now
-	ctx := a.termCtx
-	go func() {
-		callCtx, cancel := context.WithTimeout(ctx, tableCallTimeout)
-		defer cancel()
-		stored, err := a.putTable(callCtx, t, version)
-		if err != nil && !errors.Is(err, store.ErrThrottled) {
-			stored, err = a.confirmStored(ctx, t, err)
-		}
-		a.results.Put(ctx, func() {
-			if err != nil {
-				a.node.log.Event("table_unwritten").Str("service", string(t.Service)).Err(err).Send()
-				m.StoreFailed()
-				return
-			}
-			m.Stored(stored)
-		})
-	}()
-}
-
-// confirmStored reads a table whose write failed, to find out whether it was
-// stored nevertheless. If not, it returns cause.
-func (a *assigner) confirmStored(ctx context.Context, t *keyrange.Table, cause error) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, tableCallTimeout)
-	defer cancel()
-	o, err := a.node.platform.Objects().Get(ctx, a.node.platform.InternalKey("tables", string(t.Service)))
-	if err != nil {
-		return 0, cause
-	}
-	got, err := keyrange.Decode(o.Value)
-	if err != nil || got.Term != t.Term || got.NextFence != t.NextFence {
-		return 0, cause
-	}
-	return o.Version, nil
-}
-
-// sendOrder sends an order to its server in the background. The lease is checked
-// immediately before.
-func (a *assigner) sendOrder(m *ownership.Machine, snap *view.Snapshot, o ownership.Order) {
-	addr := a.serverAddress(snap, o.Owner)
-	a.ordersInFlight++
-	ctx := a.termCtx
-	go func() {
-		outcome, handover := ownership.NotSent, ""
-		var err error
-		if addr != "" && a.leads() {
-			outcome, handover, err = a.node.platform.SendOrder(ctx, addr, o)
-		}
-		a.results.Put(ctx, func() {
-			if a.termCtx != ctx {
-				return
-			}
-			a.ordersInFlight--
-			a.logOrder(o, outcome, err)
-			m.Result(clock.Boot(), o, outcome, handover)
-		})
-	}()
-}
-
-// serverAddress returns the address of an owner, even after its directory entry
-// was removed, or "" if it is unknown.
-func (a *assigner) serverAddress(snap *view.Snapshot, o keyrange.Owner) string {
-	if s := snap.Servers[o.Server]; s != nil && s.StartedAtMs == o.StartedAtMs {
-		a.node.addresses.put(o, s.Addr)
-		return s.Addr
-	}
-	return a.node.addresses.get(o)
-}
-
-func (a *assigner) logOrder(o ownership.Order, outcome ownership.Outcome, err error) {
-	if outcome == ownership.Done && o.Kind == ownership.Grant {
-		return
-	}
-	a.node.log.Event("order").Uint8("kind", uint8(o.Kind)).Str("server", string(o.Owner.Server)).
-		Uint16("first", o.First).Uint16("last", o.Last).Int64("fence", o.Fence).
-		Uint8("outcome", uint8(outcome)).AnErr("error", err).Send()
-}
-
 // rebalance moves keys to balance the load of the servers.
 func (a *assigner) rebalance(now time.Time, snap *view.Snapshot) {
 	snap.Routes.Services(func(svc *routemap.Service) {
@@ -538,77 +401,3 @@
 	}
 	a.node.hub.Publish(view.TableVersion{Term: a.term, Version: a.version}, tables)
 }
-
-// loads holds the load of each keyed service. It implements fleet.Loads and is
-// safe for concurrent use.
-type loads struct {
-	mu        sync.Mutex
-	byService map[topo.ServiceName]*placement.Load
-	view      *view.View
-}
-
-var _ fleet.Loads = (*loads)(nil)
-
-func newLoads(v *view.View) *loads {
-	return &loads{byService: make(map[topo.ServiceName]*placement.Load), view: v}
-}
-
-func (l *loads) reset() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	clear(l.byService)
-}
-
-// withLoad calls f with the load of a service while it holds l.mu.
-func (l *loads) withLoad(name topo.ServiceName, f func(*placement.Load)) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	f(l.load(name))
-}
-
-func (l *loads) load(name topo.ServiceName) *placement.Load {
-	svcLoad := l.byService[name]
-	if svcLoad == nil {
-		svcLoad = placement.NewLoad()
-		l.byService[name] = svcLoad
-	}
-	return svcLoad
-}
-
-// Count implements fleet.Loads.
-func (l *loads) Count(service topo.ServiceName, key keyrange.Key, n float64) {
-	l.withLoad(service, func(svcLoad *placement.Load) { svcLoad.Count(key, n) })
-}
-
-// Answered implements fleet.Loads.
-func (l *loads) Answered(id topo.ServerID, n int, mean time.Duration) {
-	if s := l.view.Snapshot().Servers[id]; s != nil {
-		l.withLoad(s.Service, func(svcLoad *placement.Load) { svcLoad.RecordResponses(id, n, mean) })
-	}
-}
-
-// addressCache holds the addresses of owners. A server that restarted is a
-// different owner.
-type addressCache struct {
-	mu      sync.Mutex
-	byOwner map[keyrange.Owner]string
-}
-
-// maxAddresses bounds the cache. A full cache is cleared; orders to owners whose
-// address is then unknown are not sent, and their holds are left to expire.
-const maxAddresses = 4096
-
-func (c *addressCache) put(o keyrange.Owner, addr string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.byOwner == nil || len(c.byOwner) >= maxAddresses {
-		c.byOwner = make(map[keyrange.Owner]string)
-	}
-	c.byOwner[o] = addr
-}
-
-func (c *addressCache) get(o keyrange.Owner) string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.byOwner[o]
-}
--- /dev/null
+++ b/node/orders.go
@@ -0,0 +1,78 @@
+package node
+
+import (
+	"sync"
+
+	"godwitlock.example/godwitlock/clock"
+	"godwitlock.example/godwitlock/keyrange"
+	"godwitlock.example/godwitlock/ownership"
+	"godwitlock.example/godwitlock/view"
+)
+
+// sendOrder sends an order to its server in the background. The lease is checked
+// immediately before.
+func (a *assigner) sendOrder(m *ownership.Machine, snap *view.Snapshot, o ownership.Order) {
+	addr := a.serverAddress(snap, o.Owner)
+	a.ordersInFlight++
+	ctx := a.termCtx
+	go func() {
+		outcome, handover := ownership.NotSent, ""
+		var err error
+		if addr != "" && a.leads() {
+			outcome, handover, err = a.node.platform.SendOrder(ctx, addr, o)
+		}
+		a.results.Put(ctx, func() {
+			if a.termCtx != ctx {
+				return
+			}
+			a.ordersInFlight--
+			a.logOrder(o, outcome, err)
+			m.Result(clock.Boot(), o, outcome, handover)
+		})
+	}()
+}
+
+// serverAddress returns the address of an owner, even after its directory entry
+// was removed, or "" if it is unknown.
+func (a *assigner) serverAddress(snap *view.Snapshot, o keyrange.Owner) string {
+	if s := snap.Servers[o.Server]; s != nil && s.StartedAtMs == o.StartedAtMs {
+		a.node.addresses.put(o, s.Addr)
+		return s.Addr
+	}
+	return a.node.addresses.get(o)
+}
+
+func (a *assigner) logOrder(o ownership.Order, outcome ownership.Outcome, err error) {
+	if outcome == ownership.Done && o.Kind == ownership.Grant {
+		return
+	}
+	a.node.log.Event("order").Uint8("kind", uint8(o.Kind)).Str("server", string(o.Owner.Server)).
+		Uint16("first", o.First).Uint16("last", o.Last).Int64("fence", o.Fence).
+		Uint8("outcome", uint8(outcome)).AnErr("error", err).Send()
+}
+
+// addressCache holds the addresses of owners. A server that restarted is a
+// different owner.
+type addressCache struct {
+	mu      sync.Mutex
+	byOwner map[keyrange.Owner]string
+}
+
+// maxAddresses bounds the cache. A full cache is cleared; orders to owners whose
+// address is then unknown are not sent, and their holds are left to expire.
+const maxAddresses = 4096
+
+func (c *addressCache) put(o keyrange.Owner, addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.byOwner == nil || len(c.byOwner) >= maxAddresses {
+		c.byOwner = make(map[keyrange.Owner]string)
+	}
+	c.byOwner[o] = addr
+}
+
+func (c *addressCache) get(o keyrange.Owner) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.byOwner[o]
+}
