--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -110,12 +110,31 @@
 	keyCustomers map[string]string
 	withdrawnAt  map[string]time.Time
 	violations   []string
+	// pauses holds the refusals of servers that asked for a pause.
+	pauses []pauseRequest
 
 	// delayOrders and loseResponses enable faults of the servers.
 	delayOrders, loseResponses atomic.Bool
 	served                     atomic.Int64
 }
 
+// pauseRequest is a refusal by which a server asked a VM for a pause.
+type pauseRequest struct {
+	server, vm string
+	at         time.Time
+}
+
+// recordPause returns a function that records the refusals of a server.
+func (c *checker) recordPause(server string) func(request string) {
+	return func(request string) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if req := c.requests[request]; req != nil {
+			c.pauses = append(c.pauses, pauseRequest{server: server, vm: req.vm, at: time.Now()})
+		}
+	}
+}
+
 func newChecker(seed uint64) *checker {
 	return &checker{
 		rng: rand.New(rand.NewPCG(seed, 77)), requests: make(map[string]*request),
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -117,6 +117,7 @@
 	s := &site.Server{
 		ID: fmt.Sprintf("i-%d", c.next), Service: "ledger", DataCentre: fmt.Sprintf("z%d", c.next%2),
 		StartedAtMs: time.Now().UnixMilli(), ServiceTime: 10 * time.Millisecond, Keyed: true, OnRun: c.check.recordRun, OnRunEnd: c.check.recordRunEnd,
+		OnRefused:  c.check.recordPause(fmt.Sprintf("i-%d", c.next)),
 		OrderDelay: c.check.orderDelay, DropResponse: c.check.loseResponse,
 	}
 	require.NoError(c.t, s.Start())
