--- a/placement/initial.go
+++ b/placement/initial.go
@@ -13,7 +13,7 @@
 	maxInitialParts = 8
 	// maxInitialRanges bounds the ranges of all servers, which the leader renews one
 	// by one.
-	maxInitialRanges = 600
+	maxInitialRanges = 900
 )
 
 // Initial divides all keys among servers in proportion to their slots. It answers for
