placement: restore the bound of the initial ranges' test

With 900 ranges the load beyond capacity is 0.005 at 193 servers and 0.016 at 271, so 0.02 holds again; a fifth instead of a tenth, since 0.016 is more than a tenth of 0.112.

--- a/placement/initial_test.go
+++ b/placement/initial_test.go
@@ -52,7 +52,7 @@
 		t.Logf("%d servers: load beyond their capacity %.3f, with one range each %.3f", n, excess(table), excess(oneRangeEach(servers)))
 		// Each range costs a renewal a second, so the ranges are few and a small part
 		// of the load is left to moves.
-		require.Less(t, excess(table), 0.05)
-		require.Less(t, excess(table), excess(oneRangeEach(servers))/3)
+		require.Less(t, excess(table), 0.02)
+		require.Less(t, excess(table), excess(oneRangeEach(servers))/5)
 	}
 }
