backend: keep other requests off the connection of a refusal

Cause: net/http puts a connection back into its pool before it delivers the head of a response without a body. Closing the connection of a refusal could therefore take away the next request's connection: it failed as unreachable, or was cut with an unknown outcome.

Change: an attempt waits until the one before it on the same connection has judged its head. A connection of a refusal is retired; an attempt that gets a retired connection sends nothing, leaves the body unread and takes another.

--- a/backend/client.go
+++ b/backend/client.go
@@ -94,24 +94,37 @@
 // Do sends req to the server once. An error carries an execution.Point. The
 // response's Body must be closed; reading a truncated body returns an error.
 func (c *Client) Do(ctx context.Context, req *call.Request) (*call.Response, error) {
+	for {
+		resp, rejected, err := c.try(ctx, req)
+		if !rejected {
+			return resp, err
+		}
+	}
+}
+
+// try sends req on one connection. It reports whether that connection was
+// retired, so that nothing was sent; net/http drops the connection then.
+func (c *Client) try(ctx context.Context, req *call.Request) (_ *call.Response, rejected bool, _ error) {
 	if ctx.Err() != nil {
-		return nil, notDispatchedError(ctx, ctx.Err())
+		return nil, false, notDispatchedError(ctx, ctx.Err())
 	}
 	out, body, err := newServerRequest(ctx, c.server.Addr, req, time.Now())
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	rctx, cancel := context.WithCancelCause(ctx)
-	att := &attempt{cancel: cancel}
+	att := &attempt{cancel: cancel, body: body, judged: make(chan struct{})}
+	defer close(att.judged)
 	out = out.WithContext(httptrace.WithClientTrace(rctx, att.trace()))
 	resp, err := c.transport.RoundTrip(out)
 	if err != nil {
 		failure := classify(ctx, att, body, err)
 		cancel(nil)
 		body.detach()
-		return nil, failure
+		return nil, att.wasRejected(), failure
 	}
-	return c.accept(ctx, req, resp, &exchange{att: att, reqBody: body, ctx: ctx, cancel: cancel})
+	got, err := c.accept(ctx, req, resp, &exchange{att: att, reqBody: body, ctx: ctx, cancel: cancel})
+	return got, false, err
 }
 
 // accept validates the response head and converts the response to a
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -18,6 +18,10 @@
 // carries an Idempotency-Key, although the request may have run.
 var errSecondAttempt = errors.New("request cancelled before net/http could resend it")
 
+// errRetiredConn cancels an attempt that received a retired connection. No byte
+// of the request was sent.
+var errRetiredConn = errors.New("connection has carried a refusal")
+
 // conn is a connection to a backend server. On a data connection it accepts
 // writes only for the request in progress, and records whether any byte of that
 // request was written.
@@ -30,8 +34,12 @@
 
 	mu      sync.Mutex
 	owner   *attempt
+	last    *attempt // the last attempt that was accepted, also after it ended
 	writing bool
 	sentAny bool
+	// retired connections accept no further request. net/http may still have
+	// them in its pool.
+	retired bool
 }
 
 // Write implements net.Conn. On a data connection it returns errWriteRefused if
@@ -60,12 +68,38 @@
 	return err
 }
 
+// awaitJudged waits until the attempt before a has judged its response head.
+//
+// net/http returns a connection to its pool before it delivers the head of a
+// response without a body. Without the wait, closing the connection would take
+// that response away, or would cut the request that follows.
+func (c *conn) awaitJudged(a *attempt) {
+	c.mu.Lock()
+	last := c.last
+	c.mu.Unlock()
+	if last != nil && last != a {
+		<-last.judged
+	}
+}
+
 // begin accepts writes for attempt a from now on. If a is nil, all writes are
-// refused.
-func (c *conn) begin(a *attempt) {
+// refused. It returns false if the connection is retired.
+func (c *conn) begin(a *attempt) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.owner, c.sentAny = a, false
+	if c.retired {
+		a = nil
+	}
+	c.owner, c.last, c.sentAny = a, a, false
+	return !c.retired
+}
+
+// retire closes the connection and refuses all later requests.
+func (c *conn) retire() {
+	c.mu.Lock()
+	c.retired = true
+	c.mu.Unlock()
+	_ = c.Close()
 }
 
 // seal refuses further writes for attempt a and reports whether any byte of its
@@ -84,11 +118,17 @@
 // attempt tracks one request through the HTTP transport.
 type attempt struct {
 	cancel context.CancelCauseFunc
+	body   *requestBody
+	// judged is closed once it is decided whether the connection may be reused
+	// after the response head.
+	judged chan struct{}
 
 	mu             sync.Mutex
 	tries          int
 	conn           *conn
 	requestWritten bool
+	// rejected says that the attempt received a retired connection.
+	rejected bool
 }
 
 // trace returns the hooks that associate the request with its connection.
@@ -115,14 +155,24 @@
 	if !ok {
 		return
 	}
+	c.awaitJudged(a)
 	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.tries > 1 {
+	again := a.tries > 1
+	a.mu.Unlock()
+	if again {
 		c.begin(nil)
 		return
 	}
-	a.conn = c
-	c.begin(a)
+	accepted := c.begin(a)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if accepted {
+		a.conn = c
+		return
+	}
+	a.rejected = true
+	a.body.detach()
+	a.cancel(errRetiredConn)
 }
 
 func (a *attempt) onWroteRequest(info httptrace.WroteRequestInfo) {
@@ -145,6 +195,25 @@
 	return a.conn.seal(a), a.requestWritten
 }
 
+// wasRejected reports whether the attempt ended because it received a retired
+// connection. The request can be sent again: none of it was sent, and the
+// caller's body was not read.
+func (a *attempt) wasRejected() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.rejected
+}
+
+// retireConn keeps later requests off the connection of the attempt.
+func (a *attempt) retireConn() {
+	a.mu.Lock()
+	c := a.conn
+	a.mu.Unlock()
+	if c != nil {
+		c.retire()
+	}
+}
+
 // closeConn closes the connection of the attempt, so that it is not reused.
 func (a *attempt) closeConn() {
 	a.mu.Lock()
--- a/backend/message.go
+++ b/backend/message.go
@@ -156,9 +156,9 @@
 	cancel  context.CancelCauseFunc
 }
 
-// abandon closes the connection and ends the exchange.
+// abandon ends the exchange. Its connection carries no further request.
 func (ex *exchange) abandon(resp *http.Response) {
-	ex.att.closeConn()
+	ex.att.retireConn()
 	_ = resp.Body.Close()
 	ex.finish()
 }
--- a/backend/repeated_test.go
+++ b/backend/repeated_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"godwitlock.example/godwitlock/errkind"
@@ -38,3 +41,46 @@
 	defer mu.Unlock()
 	require.Zero(t, ran, "requests that ran and were reported as not run")
 }
+
+// Guards against a request that gets the connection of a refusal from the pool
+// and fails, or is cut off, when that connection is closed.
+func TestRefusalDoesNotFailOtherRequests(t *testing.T) {
+	s := startScriptedServer(t, func(c net.Conn, r *http.Request) bool {
+		body, _ := io.ReadAll(r.Body)
+		id, head := r.Header.Get("Request-Id"), "HTTP/1.1 200 OK\r\n"
+		if strings.HasPrefix(id, "refused") {
+			head = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: true\r\n"
+		}
+		_, _ = fmt.Fprintf(c, "%sRequest-Id: %s\r\nContent-Length: %d\r\n\r\n%s", head, id, len(body), body)
+		return true
+	})
+	c := newTestClient(t, s.addr, 4)
+	do := func(id, body string) (string, error) {
+		req := testRequest()
+		req.ID = id
+		if body != "" {
+			req.Body, req.ContentLength = strings.NewReader(body), int64(len(body))
+		}
+		resp, err := c.Do(context.Background(), req)
+		if err != nil {
+			return "", err
+		}
+		defer func() { _ = resp.Body.Close() }()
+		got, err := io.ReadAll(resp.Body)
+		return string(got), err
+	}
+	var wg sync.WaitGroup
+	for i := range 200 {
+		body := strings.Repeat("x", i%2)
+		wg.Go(func() {
+			_, err := do(fmt.Sprint("refused-", i), body)
+			assert.Equal(t, errkind.ServerRefused, errkind.Of(err), "%v", err)
+		})
+		wg.Go(func() {
+			got, err := do(fmt.Sprint("run-", i), body)
+			assert.NoError(t, err)
+			assert.Equal(t, body, got)
+		})
+	}
+	wg.Wait()
+}
