--- a/ingress/dropped_test.go
+++ b/ingress/dropped_test.go
@@ -136,7 +136,12 @@
 				if c.cause == WriteFailed {
 					wrap = func(nc net.Conn) net.Conn { return brokenWriter{nc} }
 				}
+				// The connection may end before r2 was read, which is then not dropped.
+				secondRuns := make(chan struct{})
 				_, client, dropped := startPipe(t, wrap, func(ctx context.Context, r *Request) *Response {
+					if r.ID == "r2" {
+						close(secondRuns)
+					}
 					if r.ID == "r2" || c.resp == nil {
 						<-ctx.Done()
 						var end *ConnectionEnd
@@ -145,6 +150,7 @@
 						}
 						return textResponse(503, "")
 					}
+					<-secondRuns
 					return c.resp
 				})
 				send(t, client, twoRequests)
