fleet, quota, forward: serve sooner after all VMs have restarted

Change: a request waits for the members, or another look at its home, as long as it waits for an owner. VMs without members are told tables only together with the members. A leader whose followers have all started anew tells since when nobody can have been home, and buckets fill from then on. Empty reports are not sent.

--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -50,7 +50,10 @@
 	term             topo.Term
 	directoryVersion uint64
 	membersVersion   uint64
+	homelessSince    time.Time
 	relay            relayState
+	// started is when the process started.
+	started time.Time
 }
 
 // NewFollower returns a follower of the VM self, whose process is identified by
@@ -58,7 +61,9 @@
 // records the version of the lease of a leader in its term.
 func NewFollower(self view.Member, boot string, v *view.View, peers *peer.Pool,
 	setConfig func([]byte, int64) error, recordLeaseVersion func(view.Member, topo.Term, uint64)) *Follower {
-	return &Follower{self: self, boot: boot, view: v, peers: peers, setConfig: setConfig, recordLeaseVersion: recordLeaseVersion}
+	return &Follower{
+		self: self, boot: boot, view: v, peers: peers, setConfig: setConfig, recordLeaseVersion: recordLeaseVersion, started: clock.Boot(),
+	}
 }
 
 // LastContact returns the time of the leader's last response and, as of that
@@ -77,6 +82,14 @@
 	return f.requestSent, f.memberTTL
 }
 
+// HomelessSince returns the time since which no VM but this one can have been home of
+// the customers whose home it is; zero if that is not known.
+func (f *Follower) HomelessSince() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.homelessSince
+}
+
 // FollowPause returns the pause between two calls of Follow. It grows with the
 // number of VMs.
 func (f *Follower) FollowPause() time.Duration {
@@ -119,6 +132,9 @@
 	if current.Term != f.term {
 		req.TableVersion = 0
 	}
+	if len(f.view.Snapshot().Members) == 0 {
+		req.MemberlessMs = max(1, clock.Boot().Sub(f.started).Milliseconds())
+	}
 	return req
 }
 
@@ -131,6 +147,7 @@
 		return err
 	}
 	now := clock.Boot()
+	f.recordHomeless(now, millis(resp.GetHomelessMs()))
 	if len(resp.GetMembers()) > 0 {
 		f.view.SetMembers(resp.GetMembersVersion(), decodeMembers(resp))
 	}
@@ -144,6 +161,15 @@
 	return nil
 }
 
+func (f *Follower) recordHomeless(now time.Time, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.homelessSince = time.Time{}
+	if d > 0 {
+		f.homelessSince = now.Add(-d)
+	}
+}
+
 func (f *Follower) applyTables(resp *fleetpb.FollowResponse) error {
 	current, known := f.view.KeyTables()
 	next := view.TableVersion{Term: topo.Term(resp.GetTerm()), Version: resp.GetTableVersion()}
--- a/fleet/hub.go
+++ b/fleet/hub.go
@@ -47,8 +47,10 @@
 // Hub distributes the leader's state to the VMs that follow it, and tracks these
 // VMs. It is safe for concurrent use.
 type Hub struct {
-	view *view.View
-	self view.Member
+	// started is when the process started.
+	started time.Time
+	view    *view.View
+	self    view.Member
 	// leads returns the term and true while this VM is the leader.
 	leads func() (topo.Term, bool)
 	// leaseVersion returns the version of the lease in the store.
@@ -72,6 +74,7 @@
 	// list would briefly assign pools and customers to other home VMs.
 	discoveryEnd  time.Time
 	discovered    bool
+	idle          idlePeriod
 	tables        *tableLog
 	tablesVersion view.TableVersion
 	changed       chan struct{}
@@ -83,7 +86,7 @@
 // each of its watches.
 func NewHub(v *view.View, self view.Member, leads func() (topo.Term, bool), leaseVersion func() uint64, oldestStoreResponse func() time.Time, loads Loads) *Hub {
 	return &Hub{
-		view: v, self: self, leads: leads, leaseVersion: leaseVersion, oldestStoreResponse: oldestStoreResponse, loads: loads,
+		started: clock.Boot(), view: v, self: self, leads: leads, leaseVersion: leaseVersion, oldestStoreResponse: oldestStoreResponse, loads: loads,
 		members: make(map[topo.VMID]*member), changed: make(chan struct{}), tables: newTableLog(),
 	}
 }
@@ -100,6 +103,8 @@
 	// which promised them to stay members for that long.
 	known := time.Duration(len(h.view.Snapshot().Members))
 	h.discoveryEnd, h.discovered = now.Add(memberDiscoveryTime+known*2*followPausePerVM), false
+	h.idle.reset(h.started, known == 0)
+	h.idle.follower(now, h.self.VM, "", max(1, now.Sub(h.started)))
 }
 
 // Publish applies the tables on this VM and sends them to its followers.
@@ -121,6 +126,7 @@
 	for id, m := range h.members {
 		if now.Sub(m.lastSeen) > m.ttl {
 			delete(h.members, id)
+			h.idle.end()
 			removed = true
 		}
 	}
@@ -138,9 +144,13 @@
 // publishMembers publishes the members to all VMs, unless a new leader is still
 // collecting them. The caller holds h.mu.
 func (h *Hub) publishMembers() {
+	first := !h.discovered
 	if h.discovered = clock.Boot().After(h.discoveryEnd); !h.discovered {
 		return
 	}
+	if first {
+		h.idle.publish()
+	}
 	h.membersVersion++
 	h.view.SetMembers(h.membersVersion, h.memberList())
 	h.notifyFollowers()
@@ -169,6 +179,7 @@
 	if req.GetLeaving() {
 		if h.members[id] != nil {
 			delete(h.members, id)
+			h.idle.end()
 			h.publishMembers()
 		}
 		return
@@ -181,11 +192,25 @@
 		ttl = max(ttl, old.ttl-now.Sub(old.lastSeen))
 	}
 	h.members[id] = &member{Member: m, lastSeen: now, ttl: ttl}
+	switch {
+	case !h.discovered:
+		h.idle.follower(now, id, req.GetBoot(), millis(req.GetMemberlessMs()))
+	case old != nil && old.Member != m:
+		h.idle.end()
+	}
 	if old == nil || old.Member != m {
 		h.publishMembers()
 	}
 }
 
+// HomelessSince returns the time since which no VM but this one can have been home of
+// the customers whose home it is; zero if that is not known.
+func (h *Hub) HomelessSince() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.idle.since(h.self.VM, "")
+}
+
 // follow waits until the follower's state is outdated or the wait ends, and
 // returns what the follower lacks.
 func (h *Hub) follow(ctx context.Context, req *fleetpb.FollowRequest) (*fleetpb.FollowResponse, error) {
@@ -227,6 +252,11 @@
 	if h.discovered && h.membersVersion != req.GetMembersVersion() {
 		return true
 	}
+	if !h.discovered && req.GetMemberlessMs() > 0 {
+		// The VM cannot serve without the members. While it waits for them it does
+		// not pause between calls, so each change would be sent to every VM.
+		return false
+	}
 	known := view.TableVersion{Term: topo.Term(req.GetTerm()), Version: req.GetTableVersion()}
 	return h.tablesVersion.Term == term && h.tablesVersion.Newer(known)
 }
@@ -257,6 +287,9 @@
 	if m := h.members[topo.VMID(req.GetVm())]; m != nil {
 		out.MemberTtlMs = m.ttl.Milliseconds()
 	}
+	if since := h.idle.since(topo.VMID(req.GetVm()), req.GetBoot()); !since.IsZero() {
+		out.HomelessMs = max(0, clock.Boot().Sub(since).Milliseconds())
+	}
 	if out.MembersVersion = h.membersVersion; h.discovered && h.membersVersion != req.GetMembersVersion() {
 		for _, m := range h.memberList() {
 			out.Members = append(out.Members, &fleetpb.Member{
--- /dev/null
+++ b/fleet/idle.go
@@ -0,0 +1,60 @@
+package fleet
+
+import (
+	"time"
+
+	"godwitlock.example/godwitlock/topo"
+)
+
+// idlePeriod tells since when no VM can have been home of any customer, after all VMs
+// that follow a new leader have started anew. It is known only if none of them knew
+// members of an earlier leader. Homes are chosen by rendezvous hashing, so a VM of
+// the first list stays home of what it is home of while VMs only join: nobody else
+// was home there in between.
+type idlePeriod struct {
+	// begin is when the last VM started; zero if some VM may have been home since.
+	begin time.Time
+	// processes names the process on each VM that called, and first holds those of
+	// the first list; nil before its publication.
+	processes, first map[topo.VMID]string
+}
+
+// reset begins a term of a leader whose process started at the given time. fresh says
+// that it knows no members of an earlier leader.
+func (p *idlePeriod) reset(started time.Time, fresh bool) {
+	*p = idlePeriod{processes: make(map[topo.VMID]string)}
+	if fresh {
+		p.begin = started
+	}
+}
+
+// follower records a call of a process on a VM before the first list is published.
+// memberless is how long the process has run without members, 0 if it knows some.
+func (p *idlePeriod) follower(now time.Time, vm topo.VMID, process string, memberless time.Duration) {
+	if p.begin.IsZero() {
+		return
+	}
+	p.processes[vm] = process
+	if memberless <= 0 {
+		p.end()
+		return
+	}
+	if started := now.Add(-memberless); started.After(p.begin) {
+		p.begin = started
+	}
+}
+
+// publish records that the first list is published.
+func (p *idlePeriod) publish() { p.first = p.processes }
+
+// end records that a VM may get customers whose home was another one.
+func (p *idlePeriod) end() { p.begin = time.Time{} }
+
+// since returns the time since which no VM but this one can have been home of its
+// customers; zero if that is not known.
+func (p *idlePeriod) since(vm topo.VMID, process string) time.Time {
+	if first, ok := p.first[vm]; !ok || first != process {
+		return time.Time{}
+	}
+	return p.begin
+}
--- a/fleet/rates.go
+++ b/fleet/rates.go
@@ -18,16 +18,16 @@
 const (
 	// takeTimeout bounds a Take call to a home VM.
 	takeTimeout = 150 * time.Millisecond
-	// maxTakeAttempts is how often a request tries to take a token, and
-	// takeRetryPause the pause between two attempts: the time in which a new
-	// list of members reaches all VMs.
-	maxTakeAttempts = 3
+	// takeRetryPause is the pause before a request tries once more to take a token:
+	// the time in which a new list of members reaches all VMs. It doubles with each
+	// attempt, of which there are maxTakeAttempts.
 	takeRetryPause  = 60 * time.Millisecond
+	maxTakeAttempts = 4
 )
 
 // Rates enforces the rate limits of customers. For customers whose home is this
 // VM it holds the token buckets; for others it takes tokens from their home VMs.
-// It implements forward.Rates and is safe for concurrent use.
+// It implements forward.RateLimiter and is safe for concurrent use.
 type Rates struct {
 	self  topo.VMID
 	view  *view.View
@@ -35,6 +35,8 @@
 
 	mu   sync.Mutex
 	home *quota.Home
+	// updated is set once members are known.
+	updated bool
 }
 
 // NewRates returns the Rates of the VM self, which is the home of no customer
@@ -47,9 +49,11 @@
 func customerHomeKey(id topo.CustomerID) string { return "customer/" + string(id) }
 
 // Update applies the customers and members of a snapshot. limitOf returns the
-// rate limit of a customer. Update does nothing while no configuration is known.
-func (r *Rates) Update(s *view.Snapshot, limitOf func(*routemap.Customer) quota.Limit) {
-	if s.Routes == nil {
+// rate limit of a customer. homelessSince is the time since which no other VM can have
+// been home of this VM's first customers; zero if that is not known. Update does
+// nothing while the configuration or the members are not known.
+func (r *Rates) Update(s *view.Snapshot, homelessSince time.Time, limitOf func(*routemap.Customer) quota.Limit) {
+	if s.Routes == nil || len(s.Members) == 0 {
 		return
 	}
 	limits := make(map[topo.CustomerID]quota.Limit)
@@ -61,7 +65,13 @@
 	})
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.home.SetCustomers(clock.Boot(), limits, len(s.Members))
+	now := clock.Boot()
+	since := now
+	if !r.updated && !homelessSince.IsZero() {
+		since = homelessSince
+	}
+	r.updated = true
+	r.home.SetCustomers(now, since, limits, len(s.Members))
 }
 
 // RecordLeaderContact records that the leader answered a request that was sent
@@ -86,25 +96,48 @@
 	r.home.PeerContacted(clock.Boot(), vm)
 }
 
-// Take implements forward.Rates. While the members change, two VMs may briefly
-// disagree on a customer's home; the request is then tried again.
-func (r *Rates) Take(ctx context.Context, id topo.CustomerID) errkind.Kind {
-	for attempt := 0; ; attempt++ {
+// Take implements forward.RateLimiter. While the members change, two VMs may briefly
+// disagree on a customer's home, and a VM that has just started knows none; the
+// request then waits, until the given time at the latest.
+func (r *Rates) Take(ctx context.Context, id topo.CustomerID, until time.Time) errkind.Kind {
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	if !r.awaitMembers(ctx) {
+		return errkind.NotHome
+	}
+	pause := takeRetryPause
+	for attempt := 1; ; attempt++ {
 		switch r.takeOnce(ctx, id) {
 		case quota.Granted:
 			return errkind.Unset
 		case quota.Exhausted:
 			return errkind.RateExceeded
 		}
-		if attempt == maxTakeAttempts-1 || ctx.Err() != nil {
+		if attempt == maxTakeAttempts || ctx.Err() != nil {
 			return errkind.NotHome
 		}
-		t := time.NewTimer(takeRetryPause)
+		t := time.NewTimer(pause)
 		select {
 		case <-t.C:
 		case <-ctx.Done():
 		}
 		t.Stop()
+		pause *= 2
+	}
+}
+
+// awaitMembers waits until the members are known, and returns false if ctx ends first.
+func (r *Rates) awaitMembers(ctx context.Context) bool {
+	for {
+		changed := r.view.Changed()
+		if len(r.view.Snapshot().Members) > 0 {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
 	}
 }
 
@@ -137,7 +170,7 @@
 	return quota.Verdict(resp.GetVerdict()), nil
 }
 
-// Return implements forward.Rates. It does not wait for the home VM.
+// Return implements forward.RateLimiter. It does not wait for the home VM.
 func (r *Rates) Return(id topo.CustomerID) {
 	homes := r.view.Snapshot().Homes(customerHomeKey(id), "")
 	if len(homes) == 0 {
--- a/forward/acquire.go
+++ b/forward/acquire.go
@@ -179,9 +179,7 @@
 		return "", nil, &refusal{errkind.BadRequest, 0, "request has no key"}
 	}
 	r.Progress.SetStage(ingress.WaitingForOwner)
-	left := time.Until(r.deadline)
-	limit := min(max(minOwnerWait, time.Duration(float64(left)*ownerWaitShare)), left/2)
-	timer := time.NewTimer(limit)
+	timer := time.NewTimer(r.changeWait())
 	defer timer.Stop()
 	first := true
 	var lastTried topo.ServerID
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -42,10 +42,11 @@
 
 // RateLimiter enforces the customers' rate limits.
 type RateLimiter interface {
-	// Take takes a token from the customer's rate limit. It returns
+	// Take takes a token from the customer's rate limit. While the customer's home
+	// is not known, it waits until the given time at the latest. It returns
 	// errkind.Unset on success, else the error kind with which to refuse the
 	// request.
-	Take(ctx context.Context, id topo.CustomerID) errkind.Kind
+	Take(ctx context.Context, id topo.CustomerID, until time.Time) errkind.Kind
 	// Return gives back the token of a request that did not run.
 	Return(id topo.CustomerID)
 }
@@ -218,7 +219,7 @@
 	if r.customer == nil || r.customer.Rate <= 0 {
 		return errkind.Unset, ""
 	}
-	switch kind := f.RateLimiter.Take(ctx, r.customer.ID); kind {
+	switch kind := f.RateLimiter.Take(ctx, r.customer.ID, time.Now().Add(r.changeWait())); kind {
 	case errkind.Unset:
 		r.rateTokenTaken = true
 	case errkind.RateExceeded:
@@ -229,6 +230,13 @@
 	return errkind.Unset, ""
 }
 
+// changeWait returns how long the request waits for a change that is under way, such as
+// the hand-over of its key or a new home of its customer.
+func (r *request) changeWait() time.Duration {
+	left := time.Until(r.deadline)
+	return min(max(minOwnerWait, time.Duration(float64(left)*ownerWaitShare)), left/2)
+}
+
 func (r *request) prepareAttempts() {
 	timeout := r.route.Timeout
 	if timeout <= 0 {
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -51,8 +51,10 @@
 
 type fakeRates struct{ returned int }
 
-func (*fakeRates) Take(context.Context, topo.CustomerID) errkind.Kind { return errkind.Unset }
-func (f *fakeRates) Return(topo.CustomerID)                           { f.returned++ }
+func (*fakeRates) Take(context.Context, topo.CustomerID, time.Time) errkind.Kind {
+	return errkind.Unset
+}
+func (f *fakeRates) Return(topo.CustomerID) { f.returned++ }
 
 type fakeStats struct{}
 
--- a/node/reports.go
+++ b/node/reports.go
@@ -116,7 +116,11 @@
 	if leader.Addr == "" || leader.VM == n.settings.VM {
 		return
 	}
-	if _, err := n.follower.Report(ctx, leader.Addr, n.reports.take(interval)); err != nil {
+	req := n.reports.take(interval)
+	if len(req.GetLoads()) == 0 && len(req.GetWork()) == 0 {
+		return
+	}
+	if _, err := n.follower.Report(ctx, leader.Addr, req); err != nil {
 		n.log.Event("report_failed").Str("leader", string(leader.VM)).Err(err).Send()
 	}
 }
@@ -129,7 +133,7 @@
 		changed := n.view.Changed()
 		if snap := n.view.Snapshot(); snap != applied {
 			applied = snap
-			n.rates.Update(snap, n.allowance)
+			n.rates.Update(snap, n.homelessSince(), n.allowance)
 		}
 		if _, leads := n.lease.Leads(); leads {
 			n.rates.RecordLeaderContact(clock.Boot(), quota.MinMembership)
@@ -147,6 +151,15 @@
 	return ctx.Err()
 }
 
+// homelessSince returns the time since which no other VM can have been home of this
+// VM's customers; zero if that is not known.
+func (n *Node) homelessSince() time.Time {
+	if _, leads := n.lease.Leads(); leads {
+		return n.hub.HomelessSince()
+	}
+	return n.follower.HomelessSince()
+}
+
 // allowance returns the rate and burst that a customer may use. The burst
 // includes a part of the overrun that the deployment allows, because requests
 // reach the customer's home VM slightly later than they were sent.
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -4,7 +4,8 @@
 // the home.
 //
 // A VM that becomes the home of a customer starts with an empty bucket, which
-// fills at the customer's rate. It grants tokens only while one of two
+// fills at the customer's rate, from the time since which no other VM can have been
+// its home if that is known. It grants tokens only while one of two
 // conditions holds: it was recently in contact with the leader, which assigns
 // another home only some time after the last contact; or no leader has answered
 // for a limited time and more than half of the VMs contact this one. Consecutive
@@ -81,8 +82,9 @@
 
 // SetCustomers replaces the customers whose home is this VM with those in limits.
 // Customers that were present before keep their tokens up to the new burst; new
-// ones start with none. vmCount is the number of VMs.
-func (h *Home) SetCustomers(now time.Time, limits map[topo.CustomerID]Limit, vmCount int) {
+// ones start with none at since, the time at which another VM may have been their
+// home last. vmCount is the number of VMs.
+func (h *Home) SetCustomers(now, since time.Time, limits map[topo.CustomerID]Limit, vmCount int) {
 	h.vmCount = vmCount
 	for id := range h.buckets {
 		if _, ok := limits[id]; !ok {
@@ -92,7 +94,7 @@
 	for id, limit := range limits {
 		b := h.buckets[id]
 		if b == nil {
-			b = &bucket{last: now}
+			b = &bucket{limit: limit, last: since}
 			h.buckets[id] = b
 		}
 		b.refill(now)
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -28,7 +28,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		limit := Limit{Rate: rapid.Float64Range(5, 100).Draw(t, "rate"), Burst: rapid.Float64Range(5, 100).Draw(t, "burst")}
 		old := NewHome()
-		old.SetCustomers(start, customers(limit), 12)
+		old.SetCustomers(start, start, customers(limit), 12)
 		old.LeaderContacted(start, MinMembership)
 		disconnectedAt := start.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "cut")) * time.Millisecond)
 		var next *Home
@@ -40,7 +40,7 @@
 			}
 			if next == nil && now.Sub(disconnectedAt) > handOverDelay {
 				next = NewHome()
-				next.SetCustomers(now, customers(limit), 12)
+				next.SetCustomers(now, now, customers(limit), 12)
 			}
 			for range rapid.IntRange(0, 8).Draw(t, "requests") {
 				if old.Take(now, "a", customer) == Granted {
@@ -78,7 +78,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := NewHome()
-			h.SetCustomers(start, customers(Limit{Rate: 10, Burst: 10}), 5)
+			h.SetCustomers(start, start, customers(Limit{Rate: 10, Burst: 10}), 5)
 			h.LeaderContacted(start, MinMembership)
 			now := start.Add(2 * time.Second)
 			for _, vm := range c.vms {
@@ -95,7 +95,7 @@
 func TestTokens(t *testing.T) {
 	h := NewHome()
 	require.Equal(t, NotHome, h.Take(start, "a", customer))
-	h.SetCustomers(start, customers(Limit{Rate: 10, Burst: 5}), 1)
+	h.SetCustomers(start, start, customers(Limit{Rate: 10, Burst: 5}), 1)
 	h.LeaderContacted(start, MinMembership)
 	h.LeaderContacted(time.Time{}, MinMembership) // no request was sent because this VM was always the leader
 	require.Equal(t, Exhausted, h.Take(start, "a", customer))
@@ -106,8 +106,8 @@
 	require.Equal(t, Exhausted, h.Take(now, "a", customer))
 	h.Return(customer)
 	require.Equal(t, Granted, h.Take(now, "a", customer))
-	h.SetCustomers(now, nil, 1)
-	h.SetCustomers(now, customers(Limit{Rate: 10, Burst: 5}), 1)
+	h.SetCustomers(now, now, nil, 1)
+	h.SetCustomers(now, now, customers(Limit{Rate: 10, Burst: 5}), 1)
 	require.Equal(t, Exhausted, h.Take(now, "a", customer))
 }
 
@@ -117,9 +117,24 @@
 func TestHomeGrantsWhileItIsAMember(t *testing.T) {
 	for _, membership := range []time.Duration{MinMembership, 1900 * time.Millisecond} {
 		h := NewHome()
-		h.SetCustomers(start, map[topo.CustomerID]Limit{"c": {Rate: 1000, Burst: 1000}}, 195)
+		h.SetCustomers(start, start, map[topo.CustomerID]Limit{"c": {Rate: 1000, Burst: 1000}}, 195)
 		h.LeaderContacted(start, membership)
 		require.Equal(t, Granted, h.Take(start.Add(membership-membershipMargin-time.Millisecond), "b", "c"))
 		require.Equal(t, NotHome, h.Take(start.Add(membership-membershipMargin), "b", "c"))
 	}
 }
+
+// Guards against a customer that is refused within its rate by a home that knows that
+// it had no other home for some time, and against more than its burst after a long time.
+func TestBucketFillsSinceTheLastHome(t *testing.T) {
+	for idle, want := range map[time.Duration]int{0: 0, 300 * time.Millisecond: 3, time.Hour: 5} {
+		h := NewHome()
+		h.SetCustomers(start, start.Add(-idle), customers(Limit{Rate: 10, Burst: 5}), 1)
+		h.LeaderContacted(start, MinMembership)
+		granted := 0
+		for h.Take(start, "a", customer) == Granted {
+			granted++
+		}
+		require.Equal(t, want, granted, idle)
+	}
+}
