--- a/cli/cli.go
+++ b/cli/cli.go
@@ -100,7 +100,7 @@
 	list := []*command{
 		checkCommand(), diffCommand(), applyCommand(), proveCommand(), promoteCommand(), rollbackCommand(),
 		statusCommand(), ownerCommand(), dataCentreCommand(), drainCommand(), auditCommand(),
-		customerCommand(), callerKeyCommand(),
+		customerCommand(), callerKeyCommand(), boundCommand(),
 	}
 	for _, c := range list {
 		c.stdout, c.stderr = stdout, stderr
