forward: wait longer for owners and homes on a VM that has just started

Change: for 3 s after its start, a VM lets requests wait for an owner, as for a home, up to half of their time left.

--- a/forward/acquire.go
+++ b/forward/acquire.go
@@ -170,16 +170,16 @@
 }
 
 // awaitOwner returns the server that owns the request's key, and the snapshot
-// in which it does. While the key is being handed over, it waits up to
-// minOwnerWait or a quarter of the time left, and at most half of it, unless the service has no
-// usable server. With newOwnerOnly it also waits for an owner other than the last
-// one tried, but returns that one when the wait ends.
+// in which it does. While the key is being handed over, it waits as long as
+// changeWait says, unless the service has no usable server. With newOwnerOnly it also
+// waits for an owner other than the last one tried, but returns that one when the wait
+// ends.
 func (f *Forwarder) awaitOwner(ctx context.Context, r *request, newOwnerOnly bool) (topo.ServerID, *view.Snapshot, *refusal) {
 	if !r.HasKey {
 		return "", nil, &refusal{errkind.BadRequest, 0, "request has no key"}
 	}
 	r.Progress.SetStage(ingress.WaitingForOwner)
-	timer := time.NewTimer(r.changeWait())
+	timer := time.NewTimer(f.changeWait(r))
 	defer timer.Stop()
 	first := true
 	var lastTried topo.ServerID
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -84,6 +84,7 @@
 // Forwarder answers callers' requests. It is safe for concurrent use.
 type Forwarder struct {
 	Config
+	started  time.Time
 	splitter *routemap.Splitter
 	spread   *spread.Chooser
 	// stopCtx ends when waiting requests are to be refused.
@@ -97,7 +98,7 @@
 // New returns a Forwarder that accepts requests until RefuseWaiting is called.
 func New(cfg Config) *Forwarder {
 	f := &Forwarder{
-		Config: cfg, splitter: routemap.NewSplitter(), spread: spread.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		Config: cfg, started: clock.Boot(), splitter: routemap.NewSplitter(), spread: spread.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 	if f.Pauses == nil {
 		f.Pauses = &pushback.Table{}
@@ -133,6 +134,8 @@
 	// the time left if that is longer. A handover lasts until the requests in flight
 	// for its keys have ended.
 	minOwnerWait, ownerWaitShare = 600 * time.Millisecond, 0.25
+	// startupTime is how long a VM may lack members and owners after its start.
+	startupTime = 3 * time.Second
 	// maxConfigWait bounds the wait of a request for the first configuration of a
 	// VM that has just started, or configWaitShare of the time left if that is
 	// shorter. A VM has its configuration within about half a second.
@@ -219,7 +222,7 @@
 	if r.customer == nil || r.customer.Rate <= 0 {
 		return errkind.Unset, ""
 	}
-	switch kind := f.RateLimiter.Take(ctx, r.customer.ID, time.Now().Add(r.homeWait(snap))); kind {
+	switch kind := f.RateLimiter.Take(ctx, r.customer.ID, time.Now().Add(f.changeWait(r))); kind {
 	case errkind.Unset:
 		r.rateTokenTaken = true
 	case errkind.RateExceeded:
@@ -230,20 +233,15 @@
 	return errkind.Unset, ""
 }
 
-// changeWait returns how long the request waits for a change that is under way, such as
-// the hand-over of its key or a new home of its customer.
-func (r *request) changeWait() time.Duration {
+// changeWait returns how long a request waits for a change that is under way, such as
+// the hand-over of its key or a new home of its customer. After a loss of all VMs,
+// homes and owners are known within startupTime; until then it is half of the time left.
+func (f *Forwarder) changeWait(r *request) time.Duration {
 	left := time.Until(r.deadline)
-	return min(max(minOwnerWait, time.Duration(float64(left)*ownerWaitShare)), left/2)
-}
-
-// homeWait returns how long the request waits for its customer's home. A VM that has
-// just started knows the members, and thus the homes, about a second later.
-func (r *request) homeWait(snap *view.Snapshot) time.Duration {
-	if len(snap.Members) == 0 {
-		return time.Until(r.deadline) / 2
+	if clock.Boot().Sub(f.started) < startupTime {
+		return left / 2
 	}
-	return r.changeWait()
+	return min(max(minOwnerWait, time.Duration(float64(left)*ownerWaitShare)), left/2)
 }
 
 func (r *request) prepareAttempts() {
--- a/forward/start_test.go
+++ b/forward/start_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"godwitlock.example/godwitlock/clock"
 	"godwitlock.example/godwitlock/declog"
 	"godwitlock.example/godwitlock/routemap"
 	"godwitlock.example/godwitlock/view"
@@ -64,3 +65,15 @@
 		require.Greater(t, len(seen), 3)
 	})
 }
+
+// Guards against requests that are refused a moment before homes and owners are known
+// again after a loss of all VMs, and against ones that wait as long at other times.
+func TestChangeWait(t *testing.T) {
+	f := &Forwarder{started: clock.Boot()}
+	r := &request{deadline: time.Now().Add(4 * time.Second)}
+	require.InDelta(t, 2, f.changeWait(r).Seconds(), 0.1)
+	f.started = clock.Boot().Add(-startupTime)
+	require.InDelta(t, 1, f.changeWait(r).Seconds(), 0.1)
+	r.deadline = time.Now().Add(time.Second)
+	require.InDelta(t, 0.5, f.changeWait(r).Seconds(), 0.1, "half of a short time, not minOwnerWait")
+}
