fleet, leader: publish members early only when all VMs have called

Cause: the list of members was published early, and buckets filled since the last start, when all VMs that had called by then had started anew.

Change: the lease's record names the number of VMs that followed the leader. A new leader publishes early, and tells since when nobody was home, only if as many VMs call, all of them started anew; then at once. Otherwise it collects members for 0.7 s, as before, and buckets start empty.

--- a/fleet/hub.go
+++ b/fleet/hub.go
@@ -22,10 +22,6 @@
 	// memberDiscoveryTime is how long a new leader collects members before it
 	// publishes their list. It covers one Follow call and a retry.
 	memberDiscoveryTime = 700 * time.Millisecond
-	// minMemberDiscoveryTime replaces it after all VMs have started anew, when no VM
-	// is home of anything: the list is then published once no VM has joined for
-	// joinPause.
-	minMemberDiscoveryTime, joinPause = 350 * time.Millisecond, 150 * time.Millisecond
 	// memberTTL is how long a VM stays a member after its last Follow call, in
 	// addition to two follow pauses. It covers two Follow calls. Each VM is told how
 	// long it stays a member, and acts as the home of customers for less.
@@ -77,8 +73,6 @@
 	// discoveryEnd is when a new leader publishes the members at the latest. An
 	// incomplete list would briefly assign pools and customers to other home VMs.
 	discoveryEnd  time.Time
-	termStart     time.Time
-	lastJoin      time.Time
 	discovered    bool
 	idle          idlePeriod
 	tables        *tableLog
@@ -97,9 +91,10 @@
 	}
 }
 
-// BeginTerm discards the members and tables of an earlier term and starts to
-// collect members.
-func (h *Hub) BeginTerm(now time.Time) {
+// BeginTerm discards the members and tables of an earlier term and starts to collect
+// members. earlierMembers is the number of VMs that followed the leader of the earlier
+// term; 0 if it is not known.
+func (h *Hub) BeginTerm(now time.Time, earlierMembers int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.tables = newTableLog()
@@ -109,9 +104,10 @@
 	// which promised them to stay members for that long.
 	known := time.Duration(len(h.view.Snapshot().Members))
 	h.discoveryEnd, h.discovered = now.Add(memberDiscoveryTime+known*2*followPausePerVM), false
-	h.termStart, h.lastJoin = now, now
-	h.idle.reset(h.started, known == 0)
+	h.idle.reset(h.started, known == 0, earlierMembers)
 	h.idle.follower(now, h.self.VM, "", max(1, now.Sub(h.started)))
+	// VMs that called before are recorded again.
+	h.notifyFollowers()
 }
 
 // Publish applies the tables on this VM and sends them to its followers.
@@ -163,14 +159,11 @@
 	h.notifyFollowers()
 }
 
-// discoveryOver reports whether a new leader has collected members for long enough.
-// The caller holds h.mu.
+// discoveryOver reports whether a new leader may publish the members: it has collected
+// them for long enough, or all VMs have called, and none is home of anything. The
+// caller holds h.mu.
 func (h *Hub) discoveryOver(now time.Time) bool {
-	if now.After(h.discoveryEnd) {
-		return true
-	}
-	return h.idle.known() && len(h.members) > 0 &&
-		now.Sub(h.termStart) > minMemberDiscoveryTime && now.Sub(h.lastJoin) > joinPause
+	return now.After(h.discoveryEnd) || h.idle.complete()
 }
 
 func (h *Hub) memberList() []view.Member {
@@ -203,9 +196,6 @@
 	}
 	m := view.Member{VM: id, Addr: req.GetAddr(), DataCentre: topo.DataCentreName(req.GetDataCentre()), CPUShare: req.GetCpuShare()}
 	old := h.members[id]
-	if old == nil {
-		h.lastJoin = now
-	}
 	ttl := h.memberTTL()
 	if old != nil {
 		// A promise of an earlier call may be longer and still be in force.
--- a/fleet/idle.go
+++ b/fleet/idle.go
@@ -7,8 +7,8 @@
 )
 
 // idlePeriod tells since when no VM can have been home of any customer, after all VMs
-// that follow a new leader have started anew. It is known only if none of them knew
-// members of an earlier leader. Homes are chosen by rendezvous hashing, so a VM of
+// have started anew. It is known only if as many VMs as followed the leader before
+// follow this one, and none of them knew members of an earlier leader. Homes are chosen by rendezvous hashing, so a VM of
 // the first list stays home of what it is home of while VMs only join: nobody else
 // was home there in between.
 type idlePeriod struct {
@@ -17,13 +17,15 @@
 	// processes names the process on each VM that called, and first holds those of
 	// the first list; nil before its publication.
 	processes, first map[topo.VMID]string
+	// expected is the number of VMs that followed the leader before.
+	expected int
 }
 
 // reset begins a term of a leader whose process started at the given time. fresh says
-// that it knows no members of an earlier leader.
-func (p *idlePeriod) reset(started time.Time, fresh bool) {
-	*p = idlePeriod{processes: make(map[topo.VMID]string)}
-	if fresh {
+// that it knows no members of an earlier leader, expected is their number.
+func (p *idlePeriod) reset(started time.Time, fresh bool, expected int) {
+	*p = idlePeriod{processes: make(map[topo.VMID]string), expected: expected}
+	if fresh && expected > 0 {
 		p.begin = started
 	}
 }
@@ -44,11 +46,17 @@
 	}
 }
 
-// known reports whether the period is known so far.
-func (p *idlePeriod) known() bool { return !p.begin.IsZero() }
+// complete reports whether the period is known and all VMs have called.
+func (p *idlePeriod) complete() bool { return !p.begin.IsZero() && len(p.processes) >= p.expected }
 
 // publish records that the first list is published.
-func (p *idlePeriod) publish() { p.first = p.processes }
+func (p *idlePeriod) publish() {
+	if !p.complete() {
+		// A VM that did not call may still be home under an earlier leader.
+		p.end()
+	}
+	p.first = p.processes
+}
 
 // end records that a VM may get customers whose home was another one.
 func (p *idlePeriod) end() { p.begin = time.Time{} }
--- a/fleet/idle_test.go
+++ b/fleet/idle_test.go
@@ -34,17 +34,15 @@
 // Guards against customers that are refused within their rate after all VMs have
 // restarted, and against two homes that count the same time.
 func TestHomelessTimeAfterAllVMsRestarted(t *testing.T) {
-	newTerm := func() *Hub {
+	newTerm := func(earlierMembers int) *Hub {
 		h := newTestHub()
-		h.self = view.Member{VM: "leader"}
 		h.started = clock.Boot().Add(-time.Second)
-		h.BeginTerm(clock.Boot())
+		h.BeginTerm(clock.Boot(), earlierMembers)
 		return h
 	}
-	h := newTerm()
-	followNow(t, h, "a", "a1", 500, 0)
+	h := newTerm(3)
+	require.Zero(t, followNow(t, h, "a", "a1", 500, 0).GetHomelessMs(), "members are not published")
 	followNow(t, h, "b", "b1", 300, 0)
-	require.Zero(t, followNow(t, h, "a", "a1", 510, 0).GetHomelessMs(), "members are not published")
 	endDiscovery(h)
 	for _, vm := range []string{"a", "b"} {
 		require.InDelta(t, 300, followNow(t, h, vm, vm+"1", 600, 0).GetHomelessMs(), 100, "since the last VM started")
@@ -53,24 +51,48 @@
 	require.Zero(t, followNow(t, h, "late", "l1", 50, 0).GetHomelessMs(), "joined after the first list")
 	require.NotZero(t, followNow(t, h, "a", "a1", 0, 1).GetHomelessMs(), "a VM that joins takes homes away only")
 	require.Zero(t, followNow(t, h, "a", "a2", 50, 0).GetHomelessMs(), "an earlier process on the VM was home")
-	h.mu.Lock()
-	h.members["late"].lastSeen = clock.Boot().Add(-time.Hour)
-	h.mu.Unlock()
-	h.Expire(clock.Boot())
-	require.Zero(t, followNow(t, h, "b", "b1", 0, 1).GetHomelessMs(), "the customers of a VM that left get other homes")
+	for name, change := range map[string]func(h *Hub){
+		"silent": func(h *Hub) {
+			h.members["a"].lastSeen = clock.Boot().Add(-time.Hour)
+			h.Expire(clock.Boot())
+		},
+		"leaving": func(h *Hub) {
+			_, err := h.follow(context.Background(), &fleetpb.FollowRequest{Vm: "a", Boot: "a1", Leaving: true})
+			require.NoError(t, err)
+		},
+		"smaller": func(h *Hub) {
+			_, err := h.follow(context.Background(), &fleetpb.FollowRequest{Vm: "a", Boot: "a1", Addr: "a:1", CpuShare: 0.5})
+			require.NoError(t, err)
+		},
+	} {
+		h := newTerm(3)
+		followNow(t, h, "a", "a1", 500, 0)
+		followNow(t, h, "b", "b1", 300, 0)
+		endDiscovery(h)
+		require.NotZero(t, followNow(t, h, "b", "b1", 600, 0).GetHomelessMs())
+		change(h)
+		require.Zero(t, followNow(t, h, "b", "b1", 0, 1).GetHomelessMs(), name+": its customers get other homes")
+	}
 
-	h = newTerm()
+	h = newTerm(3)
 	followNow(t, h, "a", "a1", 500, 0)
 	followNow(t, h, "b", "b1", 0, 7)
 	endDiscovery(h)
 	require.Zero(t, followNow(t, h, "a", "a1", 600, 0).GetHomelessMs(), "a VM was home under an earlier leader")
+
+	for _, earlier := range []int{0, 3} {
+		h = newTerm(earlier)
+		followNow(t, h, "a", "a1", 500, 0)
+		endDiscovery(h)
+		require.Zero(t, followNow(t, h, "a", "a1", 600, 0).GetHomelessMs(), "a VM that does not call may be home")
+	}
 }
 
 // Guards against a leader that sends each change of the tables to all VMs while these
 // wait for the members, without which they cannot serve.
 func TestVMsThatWaitForMembersAreNotToldEachTable(t *testing.T) {
 	h := newTestHub()
-	h.BeginTerm(clock.Boot())
+	h.BeginTerm(clock.Boot(), 0)
 	term, _ := h.leads()
 	version := view.TableVersion{Term: term, Version: 1}
 	publish := func() {
@@ -91,28 +113,30 @@
 }
 
 // Guards against callers that wait for a list of members which is complete already, and
-// against a list without VMs that still join.
+// against a list without VMs that may still be home under an earlier leader.
 func TestMembersArePublishedOnceAllVMsHaveRestarted(t *testing.T) {
-	newTerm := func() *Hub {
+	newTerm := func(earlierMembers int) *Hub {
 		h := newTestHub()
 		h.started = clock.Boot().Add(-time.Second)
-		h.BeginTerm(clock.Boot())
+		h.BeginTerm(clock.Boot(), earlierMembers)
 		return h
 	}
-	passes := func(h *Hub, sinceStart, sinceJoin time.Duration) bool {
-		now := clock.Boot()
-		h.termStart, h.lastJoin = now.Add(-sinceStart), now.Add(-sinceJoin)
-		h.Expire(now)
+	published := func(h *Hub) bool {
+		h.Expire(clock.Boot())
 		return h.discovered
 	}
-	h := newTerm()
-	require.False(t, passes(h, 2*minMemberDiscoveryTime, time.Second), "no VM has joined")
+	h := newTerm(3)
 	followNow(t, h, "a", "a1", 100, 0)
-	require.False(t, passes(h, minMemberDiscoveryTime/2, time.Second))
-	require.False(t, passes(h, 2*minMemberDiscoveryTime, joinPause/2), "VMs still join")
-	require.True(t, passes(h, 2*minMemberDiscoveryTime, 2*joinPause))
+	require.False(t, published(h), "a VM has not called")
+	require.Len(t, followNow(t, h, "b", "b1", 100, 0).GetMembers(), 3)
+	require.True(t, published(h))
 
-	h = newTerm()
+	h = newTerm(3)
 	followNow(t, h, "a", "a1", 0, 7)
-	require.False(t, passes(h, 2*minMemberDiscoveryTime, 2*joinPause), "the VM may be home under an earlier leader")
+	followNow(t, h, "b", "b1", 100, 0)
+	require.False(t, published(h), "a VM may be home under an earlier leader")
+
+	h = newTerm(0)
+	followNow(t, h, "a", "a1", 100, 0)
+	require.False(t, published(h), "the number of VMs is not known")
 }
--- a/fleet/rates_test.go
+++ b/fleet/rates_test.go
@@ -27,7 +27,8 @@
 	select {
 	case kind := <-result:
 		t.Fatalf("answered %v before the members were known", kind)
-	case <-time.After(20 * time.Millisecond):
+	case <-time.After(takeRetryPause << maxTakeAttempts):
+		// Longer than all attempts at a known home take together.
 	}
 	now := clock.Boot()
 	r.home.SetCustomers(now, now.Add(-time.Second), map[topo.CustomerID]quota.Limit{"c": {Rate: 10, Burst: 10}}, 1)
--- a/leader/lease.go
+++ b/leader/lease.go
@@ -54,6 +54,9 @@
 	// Settled is set in a released lease if no order of the last holder can
 	// still take effect.
 	Settled bool `json:"settled,omitempty"`
+	// Members is the number of VMs that followed the holder, itself included; 0 if
+	// it is not known.
+	Members int `json:"members,omitempty"`
 }
 
 // VersionedRecord is a version of the stored lease.
@@ -110,6 +113,9 @@
 	// predecessorSettled is set if the lease was acquired from a holder that
 	// had released it as settled.
 	predecessorSettled bool
+	// members is the number of VMs that follow this process, and predecessorMembers
+	// that of the holder before it; 0 if it is not known.
+	members, predecessorMembers int
 }
 
 // New returns a Lease that has not yet observed the stored lease.
@@ -131,6 +137,14 @@
 // none of whose orders can still take effect.
 func (l *Lease) PredecessorSettled() bool { return l.predecessorSettled }
 
+// SetMembers sets the number of VMs, itself included, that the record names from the
+// next renewal on, unless it is 0.
+func (l *Lease) SetMembers(n int) { l.members = n }
+
+// PredecessorMembers returns the number of VMs that followed the holder from which the
+// process acquired the lease; 0 if it is not known.
+func (l *Lease) PredecessorMembers() int { return l.predecessorMembers }
+
 // Expiry returns the end of the lease; zero if the process does not hold it.
 func (l *Lease) Expiry() time.Time { return l.expiry }
 
@@ -164,8 +178,9 @@
 	if l.resigning || !l.mayAcquire(now) || l.candidacy.isReserve() && now.Sub(l.lastObserved) > recentRead {
 		return Step{Action: Read}
 	}
-	l.predecessorSettled = l.current.Record.Settled
-	record := Record{Term: l.current.Record.Term + 1, Holder: l.self}
+	l.predecessorSettled, l.predecessorMembers = l.current.Record.Settled, l.current.Record.Members
+	// Until this process knows its members, the number is that of its predecessor.
+	record := Record{Term: l.current.Record.Term + 1, Holder: l.self, Members: l.predecessorMembers}
 	return l.write(now, record)
 }
 
@@ -173,6 +188,9 @@
 func (l *Lease) renew(now time.Time) Step {
 	record := l.current.Record
 	record.Count++
+	if l.members > 0 {
+		record.Members = l.members
+	}
 	if l.resigning {
 		record.Holder, record.Settled = Identity{}, l.settled
 		l.expiry = time.Time{}
--- a/leader/lease_test.go
+++ b/leader/lease_test.go
@@ -218,3 +218,31 @@
 		p.pending = &step
 	}
 }
+
+// Guards against a leader that takes the members it has collected for all VMs, since it
+// does not know how many followed the leader before.
+func TestMembersOutliveTheirLeader(t *testing.T) {
+	read := func(l *Lease, r Record, version uint64) {
+		l.Observed(start, VersionedRecord{Record: r, Version: version})
+	}
+	first := New(Identity{VM: "a", Boot: "1", Addr: "a"}, Candidacy{})
+	read(first, Record{}, 0)
+	first.SetMembers(0)
+	step := first.Next(start)
+	require.Equal(t, Write, step.Action)
+	require.Zero(t, step.Next.Members)
+	first.Written(start, step.Next, 1)
+	first.SetMembers(195)
+	step = first.Next(start.Add(RenewInterval))
+	require.Equal(t, 195, step.Next.Members)
+
+	second := New(Identity{VM: "a", Boot: "2", Addr: "a"}, Candidacy{})
+	read(second, step.Next, 2)
+	step = second.Next(start)
+	require.Equal(t, Write, step.Action)
+	require.Equal(t, 195, step.Next.Members, "it knows no members yet, and may be lost, too")
+	require.Equal(t, 195, second.PredecessorMembers())
+	second.Written(start, step.Next, 3)
+	second.SetMembers(0)
+	require.Equal(t, 195, second.Next(start.Add(RenewInterval)).Next.Members)
+}
--- a/node/assigner.go
+++ b/node/assigner.go
@@ -101,7 +101,7 @@
 	a.firstServerSeen = make(map[topo.ServiceName]time.Time)
 	a.lastTableWrite = make(map[*ownership.Machine]time.Time)
 	a.loads.reset()
-	a.node.hub.BeginTerm(start)
+	a.node.hub.BeginTerm(start, a.node.lease.PredecessorMembers())
 	for !a.adoptTables(ctx, start) {
 		if !a.leads() || ctx.Err() != nil {
 			return
--- a/node/lease.go
+++ b/node/lease.go
@@ -32,16 +32,19 @@
 	leaderStale func() bool
 	// candidacy returns how this VM takes part in the election of a leader.
 	candidacy func() leader.Candidacy
-	wake      chan struct{}
+	// members returns the number of VMs in the list in force; 0 if there is none.
+	members func() int
+	wake    chan struct{}
 
 	mu            sync.Mutex
 	lease         *leader.Lease
 	loggedLeading bool
 }
 
-func newLeaseManager(objects store.Objects, key string, self leader.Identity, candidacy func() leader.Candidacy, log *declog.Log, leaderStale func() bool) *leaseManager {
+func newLeaseManager(objects store.Objects, key string, self leader.Identity, candidacy func() leader.Candidacy, members func() int, log *declog.Log, leaderStale func() bool) *leaseManager {
 	return &leaseManager{
-		objects: objects, key: key, log: log, leaderStale: leaderStale, candidacy: candidacy, lease: leader.New(self, candidacy()), wake: make(chan struct{}, 1),
+		objects: objects, key: key, log: log, leaderStale: leaderStale, candidacy: candidacy, members: members,
+		lease: leader.New(self, candidacy()), wake: make(chan struct{}, 1),
 	}
 }
 
@@ -82,6 +85,14 @@
 	return m.lease.PredecessorSettled()
 }
 
+// PredecessorMembers returns the number of VMs that followed the holder from which the
+// lease was acquired; 0 if it is not known.
+func (m *leaseManager) PredecessorMembers() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lease.PredecessorMembers()
+}
+
 // RecordNotLeader records that the VM believed to be the leader replied that it
 // is not, and wakes Run.
 func (m *leaseManager) RecordNotLeader() {
@@ -114,6 +125,7 @@
 		now := clock.Boot()
 		m.lease.SetUrgent(leaderStale, now)
 		m.lease.SetCandidacy(m.candidacy())
+		m.lease.SetMembers(m.members())
 		step := m.lease.Next(now)
 		m.mu.Unlock()
 		switch step.Action {
--- a/node/node.go
+++ b/node/node.go
@@ -135,7 +135,7 @@
 		leader.Identity{VM: n.settings.VM, Boot: boot, Addr: n.settings.PeerAddr},
 		func() leader.Candidacy {
 			return candidacyOf(n.settings.VM, n.settings.CPUShare, n.view.Snapshot().Members)
-		}, n.log, n.leaderStale)
+		}, func() int { return len(n.view.Snapshot().Members) }, n.log, n.leaderStale)
 	n.follower = fleet.NewFollower(self, boot, n.view, n.peers, n.setConfig, n.lease.RecordLeaseVersion)
 	n.loads = newLoads(n.view)
 	n.assigner = newAssigner(n, n.loads)
