fleet: a leader that restarted waits for members of before

Cause: a leader whose process restarted knew no members of the term before and published its own list after 0.7 s, although the earlier leader had promised its followers up to 1.9 s (195 VMs).

Change: once a VM calls that knows members, the list waits as long as that promise for the number of VMs in the lease's record.

Result: TestRestartedLeaderWaitsForEarlierMembers fails without the change.

--- a/fleet/hub.go
+++ b/fleet/hub.go
@@ -72,12 +72,16 @@
 	membersVersion uint64
 	// discoveryEnd is when a new leader publishes the members at the latest. An
 	// incomplete list would briefly assign pools and customers to other home VMs.
-	discoveryEnd  time.Time
-	discovered    bool
-	idle          idlePeriod
-	tables        *tableLog
-	tablesVersion view.TableVersion
-	changed       chan struct{}
+	discoveryEnd time.Time
+	discovered   bool
+	// termStart is when the term of a new leader began, and earlierMembers how many
+	// VMs followed the leader before.
+	termStart      time.Time
+	earlierMembers int
+	idle           idlePeriod
+	tables         *tableLog
+	tablesVersion  view.TableVersion
+	changed        chan struct{}
 }
 
 // NewHub returns a hub of the VM self. leads returns the term and true while the
@@ -100,10 +104,12 @@
 	h.tables = newTableLog()
 	h.members = make(map[topo.VMID]*member)
 	h.membersVersion = uint64(now.UnixNano())
-	// Until the list is published, all VMs keep the members of the earlier leader,
-	// which promised them to stay members for that long.
-	known := time.Duration(len(h.view.Snapshot().Members))
-	h.discoveryEnd, h.discovered = now.Add(memberDiscoveryTime+known*2*followPausePerVM), false
+	known := len(h.view.Snapshot().Members)
+	h.termStart, h.earlierMembers = now, max(known, earlierMembers)
+	h.discoveryEnd, h.discovered = now.Add(memberDiscoveryTime), false
+	if known > 0 {
+		h.awaitEarlierMembers()
+	}
 	h.idle.reset(h.started, known == 0, earlierMembers)
 	h.idle.follower(now, h.self.VM, "", max(1, now.Sub(h.started)))
 	// VMs that called before are recorded again.
@@ -159,6 +165,13 @@
 	h.notifyFollowers()
 }
 
+// awaitEarlierMembers postpones the list of members for as long as the earlier leader
+// promised its followers that they stay members: those that do not follow this leader
+// are home of their customers until then. The caller holds h.mu.
+func (h *Hub) awaitEarlierMembers() {
+	h.discoveryEnd = h.termStart.Add(memberDiscoveryTime + time.Duration(h.earlierMembers)*2*followPausePerVM)
+}
+
 // discoveryOver reports whether a new leader may publish the members: it has collected
 // them for long enough, or all VMs have called, and none is home of anything. The
 // caller holds h.mu.
@@ -203,6 +216,9 @@
 	}
 	h.members[id] = &member{Member: m, lastSeen: now, ttl: ttl}
 	switch {
+	case !h.discovered && req.GetMemberlessMs() == 0:
+		h.awaitEarlierMembers()
+		h.idle.end()
 	case !h.discovered:
 		h.idle.follower(now, id, req.GetBoot(), millis(req.GetMemberlessMs()))
 	case old != nil && old.Member != m:
--- a/fleet/idle.go
+++ b/fleet/idle.go
@@ -30,17 +30,13 @@
 	}
 }
 
-// follower records a call of a process on a VM before the first list is published.
-// memberless is how long the process has run without members, 0 if it knows some.
+// follower records a call of a process that knows no members, before the first list is
+// published. memberless is how long it has run.
 func (p *idlePeriod) follower(now time.Time, vm topo.VMID, process string, memberless time.Duration) {
 	if p.begin.IsZero() {
 		return
 	}
 	p.processes[vm] = process
-	if memberless <= 0 {
-		p.end()
-		return
-	}
 	if started := now.Add(-memberless); started.After(p.begin) {
 		p.begin = started
 	}
--- a/fleet/idle_test.go
+++ b/fleet/idle_test.go
@@ -140,3 +140,18 @@
 	followNow(t, h, "a", "a1", 100, 0)
 	require.False(t, published(h), "the number of VMs is not known")
 }
+
+// Guards against two homes of a customer after the leader's process alone has
+// restarted: VMs that it does not hear may still rely on the earlier leader's promise.
+func TestRestartedLeaderWaitsForEarlierMembers(t *testing.T) {
+	const earlier = 195
+	h := newTestHub()
+	h.BeginTerm(clock.Boot(), earlier)
+	require.False(t, h.discoveryOver(h.termStart.Add(memberDiscoveryTime)))
+	require.True(t, h.discoveryOver(h.termStart.Add(memberDiscoveryTime+time.Millisecond)), "nobody is known to have members")
+	followNow(t, h, "a", "a1", 100, 0)
+	followNow(t, h, "b", "b1", 0, 7)
+	promise := memberDiscoveryTime + earlier*2*followPausePerVM
+	require.False(t, h.discoveryOver(h.termStart.Add(promise)))
+	require.True(t, h.discoveryOver(h.termStart.Add(promise+time.Millisecond)))
+}
