--- a/fleet/idle_test.go
+++ b/fleet/idle_test.go
@@ -77,6 +77,7 @@
 	h = newTerm(3)
 	followNow(t, h, "a", "a1", 500, 0)
 	followNow(t, h, "b", "b1", 0, 7)
+	followNow(t, h, "new", "n1", 100, 0)
 	endDiscovery(h)
 	require.Zero(t, followNow(t, h, "a", "a1", 600, 0).GetHomelessMs(), "a VM was home under an earlier leader")
 
