forward: a wait for the home of a customer ends with a stop

Change: the wait ends when a stop refuses waiting requests, and there is none at a VM that has known no members for 3 s since its start.

Result: TestWaitForTheHomeEnds, TestChangeWait.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -222,7 +222,7 @@
 	if r.customer == nil || r.customer.Rate <= 0 {
 		return errkind.Unset, ""
 	}
-	switch kind := f.RateLimiter.Take(ctx, r.customer.ID, time.Now().Add(f.changeWait(r))); kind {
+	switch kind := f.takeToken(ctx, snap, r); kind {
 	case errkind.Unset:
 		r.rateTokenTaken = true
 	case errkind.RateExceeded:
@@ -235,13 +235,25 @@
 
 // changeWait returns how long a request waits for a change that is under way, such as
 // the hand-over of its key or a new home of its customer. After a loss of all VMs,
-// homes and owners are known within startupTime; until then it is half of the time left.
+// homes and owners are known within startupTime; until then it is half of the time left
+// at most.
 func (f *Forwarder) changeWait(r *request) time.Duration {
 	left := time.Until(r.deadline)
-	if clock.Boot().Sub(f.started) < startupTime {
-		return left / 2
+	startup := startupTime - clock.Boot().Sub(f.started)
+	return min(max(minOwnerWait, time.Duration(float64(left)*ownerWaitShare), startup), left/2)
+}
+
+// takeToken takes a token from the rate limit of the request's customer. A VM that has
+// known no members since its start, and thus no homes, will not know them soon.
+func (f *Forwarder) takeToken(ctx context.Context, snap *view.Snapshot, r *request) errkind.Kind {
+	wait := f.changeWait(r)
+	if len(snap.Members) == 0 && clock.Boot().Sub(f.started) > startupTime {
+		wait = 0
 	}
-	return min(max(minOwnerWait, time.Duration(float64(left)*ownerWaitShare)), left/2)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(f.stopCtx, cancel)()
+	return f.RateLimiter.Take(ctx, r.customer.ID, time.Now().Add(wait))
 }
 
 func (r *request) prepareAttempts() {
--- a/forward/start_test.go
+++ b/forward/start_test.go
@@ -13,7 +13,9 @@
 
 	"godwitlock.example/godwitlock/clock"
 	"godwitlock.example/godwitlock/declog"
+	"godwitlock.example/godwitlock/errkind"
 	"godwitlock.example/godwitlock/routemap"
+	"godwitlock.example/godwitlock/topo"
 	"godwitlock.example/godwitlock/view"
 )
 
@@ -72,8 +74,37 @@
 	f := &Forwarder{started: clock.Boot()}
 	r := &request{deadline: time.Now().Add(4 * time.Second)}
 	require.InDelta(t, 2, f.changeWait(r).Seconds(), 0.1)
+	r.deadline = time.Now().Add(time.Minute)
+	require.InDelta(t, 15, f.changeWait(r).Seconds(), 0.1, "a quarter, not half of a long time")
 	f.started = clock.Boot().Add(-startupTime)
+	r.deadline = time.Now().Add(4 * time.Second)
 	require.InDelta(t, 1, f.changeWait(r).Seconds(), 0.1)
 	r.deadline = time.Now().Add(time.Second)
 	require.InDelta(t, 0.5, f.changeWait(r).Seconds(), 0.1, "half of a short time, not minOwnerWait")
 }
+
+// waitingRates grants no token before ctx ends, and records until when it may wait.
+type waitingRates struct {
+	fakeRates
+	wait time.Duration
+}
+
+func (w *waitingRates) Take(ctx context.Context, _ topo.CustomerID, until time.Time) errkind.Kind {
+	w.wait = time.Until(until)
+	<-ctx.Done()
+	return errkind.NotHome
+}
+
+// Guards against a stop that a request outlasts while it waits for the home of its
+// customer, and against callers that wait at a VM which has had no leader for long.
+func TestWaitForTheHomeEnds(t *testing.T) {
+	rates := &waitingRates{}
+	f := New(Config{RateLimiter: rates, Log: declog.New(io.Discard, "vm")})
+	r := &request{deadline: time.Now().Add(time.Minute), customer: &routemap.Customer{ID: "c"}}
+	f.RefuseWaiting()
+	require.Equal(t, errkind.NotHome, f.takeToken(context.Background(), &view.Snapshot{}, r))
+	require.Greater(t, rates.wait, time.Second)
+	f.started = clock.Boot().Add(-2 * startupTime)
+	require.Equal(t, errkind.NotHome, f.takeToken(context.Background(), &view.Snapshot{}, r))
+	require.LessOrEqual(t, rates.wait, time.Duration(0))
+}
