--- a/fleet/idle.go
+++ b/fleet/homeless.go
@@ -6,12 +6,12 @@
 	"godwitlock.example/godwitlock/topo"
 )
 
-// idlePeriod tells since when no VM can have been home of any customer, after all VMs
-// have started anew. It is known only if as many VMs as followed the leader before
-// follow this one, and none of them knew members of an earlier leader. Homes are chosen by rendezvous hashing, so a VM of
-// the first list stays home of what it is home of while VMs only join: nobody else
-// was home there in between.
-type idlePeriod struct {
+// homelessPeriod tells since when no VM can have been home of any customer, after all
+// VMs have started anew. It is known only if as many VMs as followed the leader before
+// follow this one, and none of them knows members of an earlier leader. Homes are
+// chosen by rendezvous hashing, so what a VM of the first list is home of had no other
+// home in between, as long as VMs only join.
+type homelessPeriod struct {
 	// begin is when the last VM started; zero if some VM may have been home since.
 	begin time.Time
 	// processes names the process on each VM that called, and first holds those of
@@ -22,9 +22,9 @@
 }
 
 // reset begins a term of a leader whose process started at the given time. fresh says
-// that it knows no members of an earlier leader, expected is their number.
-func (p *idlePeriod) reset(started time.Time, fresh bool, expected int) {
-	*p = idlePeriod{processes: make(map[topo.VMID]string), expected: expected}
+// that it knows no members of an earlier leader; expected is their number.
+func (p *homelessPeriod) reset(started time.Time, fresh bool, expected int) {
+	*p = homelessPeriod{processes: make(map[topo.VMID]string), expected: expected}
 	if fresh && expected > 0 {
 		p.begin = started
 	}
@@ -32,7 +32,7 @@
 
 // follower records a call of a process that knows no members, before the first list is
 // published. memberless is how long it has run.
-func (p *idlePeriod) follower(now time.Time, vm topo.VMID, process string, memberless time.Duration) {
+func (p *homelessPeriod) follower(now time.Time, vm topo.VMID, process string, memberless time.Duration) {
 	if p.begin.IsZero() {
 		return
 	}
@@ -43,10 +43,10 @@
 }
 
 // complete reports whether the period is known and all VMs have called.
-func (p *idlePeriod) complete() bool { return !p.begin.IsZero() && len(p.processes) >= p.expected }
+func (p *homelessPeriod) complete() bool { return !p.begin.IsZero() && len(p.processes) >= p.expected }
 
 // publish records that the first list is published.
-func (p *idlePeriod) publish() {
+func (p *homelessPeriod) publish() {
 	if !p.complete() {
 		// A VM that did not call may still be home under an earlier leader.
 		p.end()
@@ -55,11 +55,11 @@
 }
 
 // end records that a VM may get customers whose home was another one.
-func (p *idlePeriod) end() { p.begin = time.Time{} }
+func (p *homelessPeriod) end() { p.begin = time.Time{} }
 
 // since returns the time since which no VM but this one can have been home of its
 // customers; zero if that is not known.
-func (p *idlePeriod) since(vm topo.VMID, process string) time.Time {
+func (p *homelessPeriod) since(vm topo.VMID, process string) time.Time {
 	if first, ok := p.first[vm]; !ok || first != process {
 		return time.Time{}
 	}
--- a/fleet/hub.go
+++ b/fleet/hub.go
@@ -19,13 +19,6 @@
 	// followPausePerVM is the pause between two Follow calls of a VM, per VM in
 	// the fleet. The leader's work thus does not grow with the fleet.
 	followPausePerVM = 1500 * time.Microsecond
-	// memberDiscoveryTime is how long a new leader collects members before it
-	// publishes their list. It covers one Follow call and a retry.
-	memberDiscoveryTime = 700 * time.Millisecond
-	// memberTTL is how long a VM stays a member after its last Follow call, in
-	// addition to two follow pauses. It covers two Follow calls. Each VM is told how
-	// long it stays a member, and acts as the home of customers for less.
-	memberTTL = 1300 * time.Millisecond
 )
 
 // Loads collects the load that VMs report.
@@ -36,14 +29,6 @@
 	Answered(id topo.ServerID, n int, mean time.Duration)
 }
 
-// member is a VM that follows the leader.
-type member struct {
-	view.Member
-	lastSeen time.Time
-	// ttl is how long the VM was told that it stays a member after lastSeen.
-	ttl time.Duration
-}
-
 // Hub distributes the leader's state to the VMs that follow it, and tracks these
 // VMs. It is safe for concurrent use.
 type Hub struct {
@@ -78,7 +63,7 @@
 	// VMs followed the leader before.
 	termStart      time.Time
 	earlierMembers int
-	idle           idlePeriod
+	homeless       homelessPeriod
 	tables         *tableLog
 	tablesVersion  view.TableVersion
 	changed        chan struct{}
@@ -95,27 +80,6 @@
 	}
 }
 
-// BeginTerm discards the members and tables of an earlier term and starts to collect
-// members. earlierMembers is the number of VMs that followed the leader of the earlier
-// term; 0 if it is not known.
-func (h *Hub) BeginTerm(now time.Time, earlierMembers int) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.tables = newTableLog()
-	h.members = make(map[topo.VMID]*member)
-	h.membersVersion = uint64(now.UnixNano())
-	known := len(h.view.Snapshot().Members)
-	h.termStart, h.earlierMembers = now, max(known, earlierMembers)
-	h.discoveryEnd, h.discovered = now.Add(memberDiscoveryTime), false
-	if known > 0 {
-		h.awaitEarlierMembers()
-	}
-	h.idle.reset(h.started, known == 0, earlierMembers)
-	h.idle.follower(now, h.self.VM, "", max(1, now.Sub(h.started)))
-	// VMs that called before are recorded again.
-	h.notifyFollowers()
-}
-
 // Publish applies the tables on this VM and sends them to its followers.
 func (h *Hub) Publish(tablesVersion view.TableVersion, tables map[topo.ServiceName]*keyrange.Table) {
 	h.view.SetTables(tablesVersion, tables)
@@ -126,117 +90,6 @@
 	h.notifyFollowers()
 }
 
-// Expire removes the VMs whose last Follow call was too long ago. It publishes the
-// members when one was removed or when the collection of members has ended.
-func (h *Hub) Expire(now time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	removed := false
-	for id, m := range h.members {
-		if now.Sub(m.lastSeen) > m.ttl {
-			delete(h.members, id)
-			h.idle.end()
-			removed = true
-		}
-	}
-	if removed || !h.discovered && h.discoveryOver(now) {
-		h.publishMembers()
-	}
-}
-
-// memberTTL returns how long a VM stays a member after a Follow call. The caller
-// holds h.mu.
-func (h *Hub) memberTTL() time.Duration {
-	return memberTTL + time.Duration(len(h.members))*2*followPausePerVM
-}
-
-// publishMembers publishes the members to all VMs, unless a new leader is still
-// collecting them. The caller holds h.mu.
-func (h *Hub) publishMembers() {
-	first := !h.discovered
-	if h.discovered = h.discovered || h.discoveryOver(clock.Boot()); !h.discovered {
-		return
-	}
-	if first {
-		h.idle.publish()
-	}
-	h.membersVersion++
-	h.view.SetMembers(h.membersVersion, h.memberList())
-	h.notifyFollowers()
-}
-
-// awaitEarlierMembers postpones the list of members for as long as the earlier leader
-// promised its followers that they stay members: those that do not follow this leader
-// are home of their customers until then. The caller holds h.mu.
-func (h *Hub) awaitEarlierMembers() {
-	h.discoveryEnd = h.termStart.Add(memberDiscoveryTime + time.Duration(h.earlierMembers)*2*followPausePerVM)
-}
-
-// discoveryOver reports whether a new leader may publish the members: it has collected
-// them for long enough, or all VMs have called, and none is home of anything. The
-// caller holds h.mu.
-func (h *Hub) discoveryOver(now time.Time) bool {
-	return now.After(h.discoveryEnd) || h.idle.complete()
-}
-
-func (h *Hub) memberList() []view.Member {
-	out := []view.Member{h.self}
-	for _, m := range h.members {
-		out = append(out, m.Member)
-	}
-	return out
-}
-
-func (h *Hub) notifyFollowers() {
-	close(h.changed)
-	h.changed = make(chan struct{})
-}
-
-// recordFollower records a Follow call of a VM, and removes a VM that leaves. The
-// caller holds h.mu.
-func (h *Hub) recordFollower(req *fleetpb.FollowRequest, now time.Time) {
-	id := topo.VMID(req.GetVm())
-	if id == h.self.VM {
-		return
-	}
-	if req.GetLeaving() {
-		if h.members[id] != nil {
-			delete(h.members, id)
-			h.idle.end()
-			h.publishMembers()
-		}
-		return
-	}
-	m := view.Member{VM: id, Addr: req.GetAddr(), DataCentre: topo.DataCentreName(req.GetDataCentre()), CPUShare: req.GetCpuShare()}
-	old := h.members[id]
-	ttl := h.memberTTL()
-	if old != nil {
-		// A promise of an earlier call may be longer and still be in force.
-		ttl = max(ttl, old.ttl-now.Sub(old.lastSeen))
-	}
-	h.members[id] = &member{Member: m, lastSeen: now, ttl: ttl}
-	switch {
-	case !h.discovered && req.GetMemberlessMs() == 0:
-		h.awaitEarlierMembers()
-		h.idle.end()
-	case !h.discovered:
-		h.idle.follower(now, id, req.GetBoot(), millis(req.GetMemberlessMs()))
-	case old != nil && old.Member != m:
-		h.idle.end()
-	}
-	if old == nil || old.Member != m {
-		h.publishMembers()
-	}
-}
-
-// HomelessSince returns the time since which no VM but this one can have been home of
-// the customers whose home it is; zero if that is not known.
-func (h *Hub) HomelessSince() time.Time {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.idle.since(h.self.VM, "")
-}
-
 // follow waits until the follower's state is outdated or the wait ends, and
 // returns what the follower lacks.
 func (h *Hub) follow(ctx context.Context, req *fleetpb.FollowRequest) (*fleetpb.FollowResponse, error) {
@@ -313,7 +166,7 @@
 	if m := h.members[topo.VMID(req.GetVm())]; m != nil {
 		out.MemberTtlMs = m.ttl.Milliseconds()
 	}
-	if since := h.idle.since(topo.VMID(req.GetVm()), req.GetBoot()); !since.IsZero() {
+	if since := h.homeless.since(topo.VMID(req.GetVm()), req.GetBoot()); !since.IsZero() {
 		out.HomelessMs = max(0, clock.Boot().Sub(since).Milliseconds())
 	}
 	if out.MembersVersion = h.membersVersion; h.discovered && h.membersVersion != req.GetMembersVersion() {
