leader: keep one holder when the store returns to an older copy

After a return of the store to a copy, the lease names a holder of before, or none, while the present holder still has its lease: another VM could take it at once (a released lease, one of a process on the same VM, none at all), and the holder lost it although nobody else could have it. Terms were given out twice, so VMs could take the tables of a new leader for old ones.

Cause: the record was taken for the newest whatever the store lost. Versions now bear the era of the store, and the record the era in which it was written. A record of an earlier era tells nothing of the present holder: a process that holds the lease keeps it and writes it again, all others wait for a whole lease, and the next term leaves room for those that were lost. A rejected write is followed by a read that may not be stale.

--- /dev/null
+++ b/leader/era_test.go
@@ -0,0 +1,214 @@
+package leader
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"godwitlock.example/godwitlock/topo"
+)
+
+// erasStore is a store of the lease that can return to an older copy.
+type erasStore struct {
+	era     topo.Era
+	counter uint64
+	current storedLease
+	// history holds the states of this era and those before, oldest first.
+	history []storedLease
+}
+
+type storedLease struct {
+	record  Record
+	counter uint64
+}
+
+func (s *erasStore) read() VersionedRecord {
+	return VersionedRecord{Record: s.current.record, Version: uint64(topo.RevisionOf(s.era, s.current.counter))}
+}
+
+// put writes the lease if the version's counter is the present one; the store does not
+// know of which era the version is. It reports whether the response confirms the write
+// to the client, which knows.
+func (s *erasStore) put(version uint64, r Record) (next uint64, confirmed bool) {
+	rev := topo.Revision(version)
+	if rev.Counter() != s.current.counter {
+		return 0, false
+	}
+	s.history = append(s.history, s.current)
+	s.counter++
+	s.current = storedLease{record: r, counter: s.counter}
+	return s.read().Version, rev.Era() == s.era
+}
+
+// restore returns to the state before the last n writes. Its counter goes back too.
+func (s *erasStore) restore(n int) {
+	s.era++
+	if n = min(n, len(s.history)); n > 0 {
+		s.current = s.history[len(s.history)-n]
+		s.history = s.history[:len(s.history)-n]
+	}
+	s.counter = s.current.counter
+}
+
+func observe(l *Lease, s *erasStore, now time.Time) { l.Observed(now, s.read()) }
+
+func write(t *testing.T, l *Lease, s *erasStore, now time.Time) Record {
+	t.Helper()
+	step := l.Next(now)
+	require.Equal(t, Write, step.Action)
+	version, ok := s.put(step.Version, step.Next)
+	require.True(t, ok)
+	l.Written(now, step.Next, version)
+	return step.Next
+}
+
+func TestHolderKeepsTheLeaseWhenTheStoreReturnsToAnOlderCopy(t *testing.T) {
+	s := &erasStore{}
+	l := New(identity("a"), Candidacy{})
+	observe(l, s, start)
+	write(t, l, s, start)
+	now := start.Add(RenewInterval)
+	write(t, l, s, now)
+	s.restore(1)
+	now = now.Add(RenewInterval)
+	step := l.Next(now)
+	_, ok := s.put(step.Version, step.Next)
+	require.False(t, ok)
+	l.Failed(now, true)
+	now = now.Add(retryInterval)
+	observe(l, s, now)
+	record := write(t, l, s, now)
+	require.Equal(t, topo.Term(1), record.Term, "the term goes on")
+	require.Equal(t, topo.Era(1), record.Era)
+	_, holds := l.Holds(now.Add(TTL / 2))
+	require.True(t, holds)
+}
+
+func TestRestoredLeaseIsNotTakenBeforeThatOfAnUnknownHolderHasExpired(t *testing.T) {
+	released := Record{Term: 4, Settled: true}
+	ownVM := Record{Term: 4, Holder: Identity{VM: "b", Boot: "before", Addr: "b:1"}}
+	for name, copied := range map[string]Record{"released": released, "held by this VM before": ownVM, "missing": {}} {
+		t.Run(name, func(t *testing.T) {
+			s := &erasStore{era: 1, counter: 7, current: storedLease{record: copied, counter: 7}}
+			if name == "missing" {
+				s.current.counter = 0
+			}
+			l := New(identity("b"), Candidacy{})
+			observe(l, s, start)
+			for now := start; now.Before(start.Add(TTL)); now = now.Add(50 * time.Millisecond) {
+				step := l.Next(now)
+				require.NotEqual(t, Write, step.Action, "at %v", now.Sub(start))
+				if step.Action == Read {
+					observe(l, s, now)
+				}
+			}
+			now := start.Add(2 * TTL)
+			observe(l, s, now)
+			record := write(t, l, s, now)
+			require.Greater(t, record.Term, copied.Term+1000, "terms of the lost records are not given out again")
+			require.False(t, l.PredecessorSettled())
+		})
+	}
+}
+
+func TestLapsedHolderDoesNotTakeARestoredRecordForItsRenewal(t *testing.T) {
+	s := &erasStore{}
+	l := New(identity("a"), Candidacy{})
+	observe(l, s, start)
+	write(t, l, s, start)
+	now := start.Add(RenewInterval)
+	require.Equal(t, Write, l.Next(now).Action)
+	l.Failed(now, false)
+	now = start.Add(TTL + RenewInterval)
+	l.Next(now)
+	l.Failed(now, false)
+	s.restore(0)
+	observe(l, s, now)
+	_, holds := l.Holds(now)
+	require.False(t, holds)
+}
+
+// Guards against two holders after the store returned to an older copy, where writes of
+// before arrive after the return and processes restart.
+func TestOneHolderAtATimeAcrossEras(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &erasStore{}
+		var ps []*eraProcess
+		for _, name := range []string{"a", "b", "c"} {
+			drift := rapid.Float64Range(-MaxDrift/2, MaxDrift/2).Draw(t, "skew")
+			ps = append(ps, &eraProcess{process: process{lease: New(identity(name), CandidacyOf(0, 12)), drift: drift}, name: name})
+		}
+		elapsed, terms := time.Duration(0), make(map[topo.Term]string)
+		for range 400 {
+			elapsed += time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond
+			p := ps[rapid.IntRange(0, len(ps)-1).Draw(t, "process")]
+			switch rapid.IntRange(0, 40).Draw(t, "event") {
+			case 0:
+				s.restore(rapid.IntRange(0, 8).Draw(t, "lost"))
+			case 1:
+				p.restart()
+			case 2:
+				// Other objects are written.
+				s.counter++
+			default:
+				p.step(t, s, p.clock(elapsed))
+			}
+			holders := 0
+			for _, p := range ps {
+				term, ok := p.lease.Holds(p.clock(elapsed))
+				if !ok {
+					continue
+				}
+				holders++
+				if other, taken := terms[term]; taken && other != p.boot() {
+					t.Fatalf("term %d of %s was that of %s before, at %v", term, p.boot(), other, elapsed)
+				}
+				terms[term] = p.boot()
+			}
+			if holders > 1 {
+				t.Fatalf("%d processes hold the lease, want at most 1, at %v", holders, elapsed)
+			}
+		}
+	})
+}
+
+type eraProcess struct {
+	process
+	name  string
+	boots int
+}
+
+func (p *eraProcess) boot() string { return p.lease.self.Boot }
+
+func (p *eraProcess) restart() {
+	p.boots++
+	id := identity(p.name)
+	id.Boot += "+" + string(rune('a'+p.boots%26)) + id.Boot
+	p.lease, p.pending = New(id, CandidacyOf(0, 12)), nil
+}
+
+// step completes the pending write of a process, or starts its next step.
+func (p *eraProcess) step(t *rapid.T, s *erasStore, now time.Time) {
+	if p.pending != nil {
+		step := *p.pending
+		p.pending = nil
+		version, confirmed := s.put(step.Version, step.Next)
+		switch {
+		case rapid.Bool().Draw(t, "lost"):
+			p.lease.Failed(now, false)
+		case confirmed:
+			p.lease.Written(now, step.Next, version)
+		default:
+			p.lease.Failed(now, true)
+		}
+		return
+	}
+	switch step := p.lease.Next(now); step.Action {
+	case Read:
+		p.lease.Observed(now, s.read())
+	case Write:
+		p.pending = &step
+	}
+}
--- a/leader/lease.go
+++ b/leader/lease.go
@@ -28,6 +28,9 @@
 	heartbeatPollInterval = 2 * time.Second
 	// retryInterval is the delay after a failed call to the store.
 	retryInterval = 150 * time.Millisecond
+	// termsPerEra is added to the term for each era that a restored record is behind. It
+	// exceeds the number of terms that may have begun after the copy was made.
+	termsPerEra = 1 << 20
 	// safetyMargin is subtracted from the lease duration to cover the time
 	// between the check of the lease and the action that relies on it.
 	safetyMargin = 150 * time.Millisecond
@@ -57,14 +60,23 @@
 	// Members is the number of VMs that followed the holder, itself included; 0 if
 	// it is not known.
 	Members int `json:"members,omitempty"`
+	// Era is the era of the store in which the record was written.
+	Era topo.Era `json:"era,omitempty"`
 }
 
-// VersionedRecord is a version of the stored lease.
+// VersionedRecord is a version of the stored lease. Version is a revision of the
+// store, so it tells the era; its counter is 0 if the lease does not exist.
 type VersionedRecord struct {
 	Record  Record
 	Version uint64
 }
 
+func (v VersionedRecord) era() topo.Era { return topo.Revision(v.Version).Era() }
+
+// restored reports whether the record comes from an older copy to which the store has
+// returned. Later records are lost, so it does not tell who holds the lease.
+func (v VersionedRecord) restored() bool { return v.Record.Era < v.era() }
+
 // Action is the kind of a Step.
 type Action uint8
 
@@ -108,8 +120,10 @@
 	lastWriteSent, firstUnconfirmedSent time.Time
 	nextActionAt                        time.Time
 	urgent                              bool
-	resigning                           bool
-	settled                             bool
+	// conflict is set from a rejected write until the next read.
+	conflict  bool
+	resigning bool
+	settled   bool
 	// predecessorSettled is set if the lease was acquired from a holder that
 	// had released it as settled.
 	predecessorSettled bool
@@ -178,10 +192,11 @@
 	if l.resigning || !l.mayAcquire(now) || l.candidacy.isReserve() && now.Sub(l.lastObserved) > recentRead {
 		return Step{Action: Read}
 	}
-	l.predecessorSettled, l.predecessorMembers = l.current.Record.Settled, l.current.Record.Members
+	last := l.current.Record
+	l.predecessorSettled, l.predecessorMembers = last.Settled && !l.current.restored(), last.Members
+	lostTerms := topo.Term(l.current.era()-last.Era) * termsPerEra
 	// Until this process knows its members, the number is that of its predecessor.
-	record := Record{Term: l.current.Record.Term + 1, Holder: l.self, Members: l.predecessorMembers}
-	return l.write(now, record)
+	return l.write(now, Record{Term: last.Term + lostTerms + 1, Holder: l.self, Members: l.predecessorMembers})
 }
 
 // renew returns the write that renews the lease or, after Resign, releases it.
@@ -203,6 +218,7 @@
 	if l.firstUnconfirmedSent.IsZero() {
 		l.firstUnconfirmedSent = now
 	}
+	record.Era = l.current.era()
 	return Step{Action: Write, Next: record, Version: l.current.Version}
 }
 
@@ -210,6 +226,9 @@
 func (l *Lease) mayAcquire(now time.Time) bool {
 	holder := l.current.Record.Holder
 	switch {
+	case l.current.restored():
+		// A lost record may name another holder, which renewed the lease until the
+		// store returned.
 	case holder == Identity{}:
 		return now.Sub(l.firstObserved) >= l.candidacy.Delay
 	case holder.VM == l.self.VM && holder.Addr == l.self.Addr:
@@ -219,21 +238,30 @@
 	return now.Sub(l.firstObserved) > time.Duration(float64(TTL)*(1+MaxDrift))+l.candidacy.Delay
 }
 
-// Observed records the result of a read. Version 0 means that the lease does not
-// exist yet.
+// Observed records the result of a read.
+//
+// If the store has returned to an older copy, a process that holds the lease goes on
+// holding it: any other process waits from then on until that lease has expired.
 func (l *Lease) Observed(now time.Time, seen VersionedRecord) {
-	l.lastObserved = now
+	if seen.era() < l.current.era() {
+		l.nextActionAt = now.Add(retryInterval)
+		return
+	}
+	l.lastObserved, l.conflict = now, false
 	if l.observed && seen.Version < l.current.Version {
 		l.nextActionAt = now.Add(pollInterval)
 		return
 	}
 	if !l.observed || seen.Version != l.current.Version {
+		if seen.restored() && l.current.Record.Term >= seen.Record.Term {
+			seen.Record = l.current.Record
+		}
 		l.current, l.firstObserved, l.observed = seen, now, true
 	}
 	switch {
 	case l.current.Record.Holder != l.self:
 		l.expiry = time.Time{}
-	case !l.resigning && l.expiry.IsZero() && !l.firstUnconfirmedSent.IsZero():
+	case !l.resigning && l.expiry.IsZero() && !l.firstUnconfirmedSent.IsZero() && !l.current.restored():
 		// A write took effect and its response was lost. It may have been the
 		// first of several unconfirmed writes, so the lease counts from the
 		// first.
@@ -262,11 +290,17 @@
 // pollDelay returns the time until the next step after an observation.
 func (l *Lease) pollDelay(now time.Time) time.Duration {
 	if _, holds := l.Holds(now); holds {
+		if l.current.restored() {
+			return 0
+		}
 		return RenewInterval
 	}
 	if l.mayAcquire(now) {
 		return 0
 	}
+	if l.current.restored() {
+		return max(urgentPollInterval, l.candidacy.Poll)
+	}
 	if l.current.Record.Holder == (Identity{}) {
 		return max(min(urgentPollInterval, l.candidacy.Delay), l.candidacy.Poll)
 	}
@@ -276,9 +310,9 @@
 	return max(pollInterval, l.candidacy.Poll)
 }
 
-// Urgent reports whether the process expects a change of the leader. Reads must
-// then not be stale.
-func (l *Lease) Urgent() bool { return l.urgent }
+// Urgent reports whether the process expects a change of the leader, or a write was
+// rejected. Reads must then not be stale.
+func (l *Lease) Urgent() bool { return l.urgent || l.conflict }
 
 // LeadershipDenied records that the presumed holder replied that it is not the
 // leader. It turns on urgent polling and makes the next step due immediately.
@@ -317,5 +351,6 @@
 // changed. After a conflict the lease is read next.
 func (l *Lease) Failed(now time.Time, conflict bool) {
 	l.observed = l.observed && !conflict
+	l.conflict = l.conflict || conflict
 	l.nextActionAt = now.Add(retryInterval)
 }
--- a/node/lease.go
+++ b/node/lease.go
@@ -170,7 +170,7 @@
 	now := clock.Boot()
 	switch {
 	case errors.Is(err, store.ErrNotFound):
-		m.lease.Observed(now, leader.VersionedRecord{})
+		m.lease.Observed(now, leader.VersionedRecord{Version: uint64(topo.RevisionOf(store.EraOf(m.objects), 0))})
 	case err != nil:
 		m.lease.Failed(now, false)
 	default:
@@ -192,7 +192,11 @@
 		m.log.Event("lease_unwritable").Err(err).Send()
 		return
 	}
-	o, err := m.objects.Put(ctx, m.key, value, step.Version, uuid.NewString())
+	version := step.Version
+	if topo.Revision(version).Counter() == 0 {
+		version = store.MustNotExist
+	}
+	o, err := m.objects.Put(ctx, m.key, value, version, uuid.NewString())
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := clock.Boot()
