ownership: tables that the store has lost

A leader that went on could not store its table any more.

Cause: a stored table counted as complete whatever the store lost. A table now bears the era of the store for which it is complete. A leader that goes on stores its table again. One that finds a table of an earlier era gives no key an owner until all holds of before have expired, and leaves room for the fences that were lost; the table becomes complete once every range has such a fence.

Nothing uses it yet.

--- a/keyrange/table.go
+++ b/keyrange/table.go
@@ -66,11 +66,26 @@
 	Service topo.ServiceName `json:"service"`
 	// Term is the term of the leader that wrote the table.
 	Term topo.Term `json:"term"`
+	// Era is the era of the store for which the table is complete: it names every
+	// owner that any leader has chosen up to then.
+	Era topo.Era `json:"era,omitempty"`
 	// NextFence is greater than every fence assigned so far.
 	NextFence int64   `json:"next_fence"`
 	Ranges    []Range `json:"ranges"`
 }
 
+// FencesPerEra exceeds the number of fences that may have been assigned after the copy
+// was made to which the store returned.
+const FencesPerEra = 1 << 20
+
+// SkipLostFences returns a copy of a table that was written in an earlier era than the
+// given one. Its next fence is above all that were assigned in between.
+func (t *Table) SkipLostFences(era topo.Era) *Table {
+	out := *t
+	out.NextFence += int64(era-t.Era) * FencesPerEra
+	return &out
+}
+
 // Find returns the range that contains a key. It returns false if the table is
 // empty or nil.
 func (t *Table) Find(k Key) (Range, bool) {
@@ -120,7 +135,7 @@
 // for the same keys. The ranges must be in ascending order and must not overlap.
 func (t *Table) replace(list []Range) *Table {
 	out := &Table{
-		Service: t.Service, Term: t.Term, NextFence: t.NextFence,
+		Service: t.Service, Term: t.Term, Era: t.Era, NextFence: t.NextFence,
 		Ranges: make([]Range, 0, len(t.Ranges)+2*len(list)),
 	}
 	rest, next := t.Ranges, 0
--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -58,6 +58,9 @@
 	// Storing means that the next owner has been chosen, but the store does
 	// not yet have the table that names it.
 	Storing
+	// Unknown means that the table is an older copy, so that any server may hold
+	// the keys. Nothing is ordered until every hold of before has expired.
+	Unknown
 )
 
 // Hold is a range of keys with its owner, and the state of the owner's right to
@@ -136,6 +139,10 @@
 	// revision is incremented by each change of the routing table that other
 	// VMs need.
 	revision uint64
+	// era is the era of the store. firstFence is the lowest fence of a range whose
+	// owner is known not to have changed in records that the store has lost.
+	era        topo.Era
+	firstFence int64
 }
 
 // New returns the Machine of a leader whose lease began at start. It starts from
@@ -160,6 +167,26 @@
 	return m
 }
 
+// NewRestored returns the Machine of a leader that found a table of an earlier era than
+// the given one in the store. Leaders of before may have moved any keys since that table
+// was written, so no key has an owner until their holds have expired; then each server
+// gets the keys that the table names, under new fences.
+func NewRestored(start time.Time, table *keyrange.Table, version uint64, maxHold time.Duration, era topo.Era) *Machine {
+	m := New(start, table.SkipLostFences(era), version, maxHold, false)
+	m.era, m.firstFence = era, m.table.NextFence
+	for _, h := range m.holds {
+		h.Phase, h.Target = Unknown, h.Server
+	}
+	return m
+}
+
+// RestoreWait returns how long a leader that lost the tables waits after the beginning
+// of its lease until no server can hold a key any more.
+func RestoreWait(maxHold time.Duration) time.Duration {
+	m := Machine{holdTime: min(HoldTime, maxHold)}
+	return m.maxHoldDuration() + maxTransit
+}
+
 // maxHoldDuration returns the maximum real time between the arrival of a grant
 // and the end of its hold.
 func (m *Machine) maxHoldDuration() time.Duration {
@@ -198,7 +225,7 @@
 	switch {
 	case h.Phase == Held && h.Granted:
 		return keyrange.Owned
-	case h.Phase == Vacating && h.failures > 0:
+	case h.Phase == Unknown, h.Phase == Vacating && h.failures > 0:
 		return keyrange.Orphaned
 	}
 	return keyrange.Moving
@@ -289,13 +316,39 @@
 			assigned = append(assigned, keyrange.Range{First: h.First, Last: h.Last, Owner: h.nextOwner})
 		}
 	}
-	if len(assigned) == 0 {
+	if len(assigned) == 0 && !m.lostByStore() {
 		return nil, 0, false
 	}
 	m.pending = m.table.Assign(assigned...)
+	if m.complete(m.pending) {
+		m.pending.Era = m.era
+	}
 	return m.pending, m.version, true
 }
 
+// SetEra records the era of the store. If it has changed since the table was stored,
+// Pending returns the table again, even if no keys have been assigned.
+func (m *Machine) SetEra(era topo.Era) { m.era = max(m.era, era) }
+
+// lostByStore reports whether the store may have lost the table.
+func (m *Machine) lostByStore() bool {
+	return m.table.Era < m.era && m.complete(m.table) && len(m.table.Ranges) > 0
+}
+
+// complete reports whether a table names no owner that may have lost its keys in
+// records that the store has lost.
+func (m *Machine) complete(t *keyrange.Table) bool {
+	if m.firstFence == 0 {
+		return true
+	}
+	for _, r := range t.Ranges {
+		if r.Fence < m.firstFence {
+			return false
+		}
+	}
+	return true
+}
+
 // Stored records that the store has the pending table under the given version.
 // The keys that it assigns can then be granted.
 func (m *Machine) Stored(version uint64) {
@@ -314,3 +367,8 @@
 // StoreFailed records that the write of the pending table was rejected or got no
 // answer. Pending then returns the table again with the same version.
 func (m *Machine) StoreFailed() { m.pending = nil }
+
+// StoreOverwritten records that the write of the pending table was rejected because
+// the store has an older table under the given version. Pending then returns the table
+// again, to replace that version.
+func (m *Machine) StoreOverwritten(version uint64) { m.pending, m.version = nil, version }
--- a/ownership/step.go
+++ b/ownership/step.go
@@ -23,6 +23,9 @@
 }
 
 func (m *Machine) step(now time.Time, h *Hold, cond Condition) (Order, bool) {
+	if h.Phase == Unknown && now.After(h.holdBound) {
+		m.free(h, "")
+	}
 	if h.Phase != Held && h.Phase != Vacating {
 		return Order{}, false
 	}
