node: leaders after the store returned to an older copy

What callers saw: OWNER and a leader whose tables were refused for good (409 at each repetition, then the loss of the leadership). Cause: the leader replaced only the version that it had written itself, and a new leader adopted any table.

The leader now reads back a table whose write was rejected and replaces one that is its own or an earlier leader's; a table of a later term stays. A table of an earlier era is adopted as such (ownership.NewRestored), and where the store has none, a leader in a later era creates one only when no hold of before can last. This also ends a deadlock without any return: a delayed write of the leader itself that took effect after its next one was built made all further writes fail.

Each new test fails without its part: 'the table of before the return is still missing' (no StoreOverwritten), phase Held instead of Unknown (adopted as any other), a table after 3 s (no wait). The era is 0 until the client reports one.

--- a/node/assigner.go
+++ b/node/assigner.go
@@ -63,6 +63,7 @@
 	results          *ring.Ring[func()]
 	ordersInFlight   int
 	term             topo.Term
+	termStart        time.Time
 	version          uint64
 	publishedChanges uint64
 	lastPlan         time.Time
@@ -96,7 +97,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	start := clock.Boot()
-	a.term, a.version, a.publishedChanges, a.ordersInFlight, a.termCtx = term, uint64(start.UnixNano()), 0, 0, ctx
+	a.term, a.termStart, a.version, a.publishedChanges, a.ordersInFlight, a.termCtx = term, start, uint64(start.UnixNano()), 0, 0, ctx
 	a.machines = make(map[topo.ServiceName]*ownership.Machine)
 	a.firstServerSeen = make(map[topo.ServiceName]time.Time)
 	a.lastTableWrite = make(map[*ownership.Machine]time.Time)
@@ -259,12 +260,21 @@
 		a.firstServerSeen[svc.Name] = now
 		return
 	}
-	if now.Sub(firstSeen) >= registrationWait {
-		t := &keyrange.Table{Service: svc.Name, Term: a.term, NextFence: 1}
-		a.machines[svc.Name] = ownership.New(now, t, store.MustNotExist, a.node.bounds().MaxHold, true)
+	if now.Sub(firstSeen) >= registrationWait && now.Sub(a.termStart) >= a.lostTableWait() {
+		a.machines[svc.Name] = ownership.New(now, a.newTable(svc.Name), store.MustNotExist, a.node.bounds().MaxHold, true)
 	}
 }
 
+// lostTableWait returns how long after the beginning of its term the leader waits
+// before it creates a table: the store may have lost one, and servers may still hold
+// keys by it.
+func (a *assigner) lostTableWait() time.Duration {
+	if store.EraOf(a.node.platform.Objects()) == 0 {
+		return 0
+	}
+	return ownership.RestoreWait(a.node.bounds().MaxHold)
+}
+
 // publish sends the tables to all VMs if any of them changed.
 func (a *assigner) publish() {
 	changes := uint64(0)
--- a/node/tables.go
+++ b/node/tables.go
@@ -10,6 +10,7 @@
 	"godwitlock.example/godwitlock/keyrange"
 	"godwitlock.example/godwitlock/ownership"
 	"godwitlock.example/godwitlock/store"
+	"godwitlock.example/godwitlock/topo"
 )
 
 // adoptTables loads the stored tables. Each table is written again under the new
@@ -38,13 +39,27 @@
 			a.node.log.Event("table_unwritten").Str("service", string(t.Service)).Err(err).Send()
 			return false
 		}
-		a.machines[t.Service] = ownership.New(start, t, version, a.node.bounds().MaxHold, settled)
+		era := topo.Revision(version).Era()
+		if t.Era < era {
+			a.machines[t.Service] = ownership.NewRestored(start, t, version, a.node.bounds().MaxHold, era)
+		} else {
+			a.machines[t.Service] = ownership.New(start, t, version, a.node.bounds().MaxHold, settled)
+		}
 		a.node.log.Event("table_adopted").Str("service", string(t.Service)).Int("ranges", len(t.Ranges)).
-			Bool("settled", settled).Send()
+			Bool("settled", settled).Uint64("table_era", uint64(t.Era)).Uint64("store_era", uint64(era)).Send()
 	}
 	return true
 }
 
+// newTable returns the first table of a service, or of one whose table the store may
+// have lost.
+func (a *assigner) newTable(service topo.ServiceName) *keyrange.Table {
+	era := store.EraOf(a.node.platform.Objects())
+	t := (&keyrange.Table{Service: service, Term: a.term, NextFence: 1}).SkipLostFences(era)
+	t.Era = era
+	return t
+}
+
 func (a *assigner) putTable(ctx context.Context, t *keyrange.Table, version uint64) (uint64, error) {
 	data, err := t.Encode()
 	if err != nil {
@@ -62,6 +77,7 @@
 	if now.Sub(a.lastTableWrite[m]) < minTableWriteInterval+time.Duration(servers)*tableWriteIntervalPerServer {
 		return
 	}
+	m.SetEra(store.EraOf(a.node.platform.Objects()))
 	t, version, ok := m.Pending()
 	if !ok {
 		return
@@ -72,32 +88,65 @@
 		callCtx, cancel := context.WithTimeout(ctx, tableCallTimeout)
 		defer cancel()
 		stored, err := a.putTable(callCtx, t, version)
-		if err != nil && !errors.Is(err, store.ErrThrottled) {
-			stored, err = a.confirmStored(ctx, t, err)
+		found := storedTable{tableWritten, stored}
+		switch {
+		case errors.Is(err, store.ErrThrottled):
+			found = storedTable{state: tableUnknown}
+		case err != nil:
+			found = a.readBack(ctx, t)
 		}
 		a.results.Put(ctx, func() {
-			if err != nil {
-				a.node.log.Event("table_unwritten").Str("service", string(t.Service)).Err(err).Send()
+			if found.state != tableWritten {
+				a.node.log.Event("table_unwritten").Str("service", string(t.Service)).Uint8("found", uint8(found.state)).Err(err).Send()
+			}
+			switch found.state {
+			case tableWritten:
+				m.Stored(found.version)
+			case tableOlder:
+				m.StoreOverwritten(found.version)
+			default:
 				m.StoreFailed()
-				return
 			}
-			m.Stored(stored)
 		})
 	}()
 }
 
-// confirmStored reads a table whose write failed, to find out whether it was
-// stored nevertheless. If not, it returns cause.
-func (a *assigner) confirmStored(ctx context.Context, t *keyrange.Table, cause error) (uint64, error) {
+// tableState is what the store has in place of a table that was to be written.
+type tableState uint8
+
+const (
+	// tableUnknown: the table could not be read, or was written by a later leader.
+	tableUnknown tableState = iota
+	// tableWritten: the write took effect.
+	tableWritten
+	// tableOlder: the store has a table of this leader or an earlier one, or none,
+	// after it returned to an older copy or a delayed write took effect.
+	tableOlder
+)
+
+type storedTable struct {
+	state   tableState
+	version uint64
+}
+
+// readBack reads a table whose write failed, to find out whether it was stored
+// nevertheless and, if not, which version is to be replaced.
+func (a *assigner) readBack(ctx context.Context, t *keyrange.Table) storedTable {
 	ctx, cancel := context.WithTimeout(ctx, tableCallTimeout)
 	defer cancel()
 	o, err := a.node.platform.Objects().Get(ctx, a.node.platform.InternalKey("tables", string(t.Service)))
+	if errors.Is(err, store.ErrNotFound) {
+		return storedTable{tableOlder, store.MustNotExist}
+	}
 	if err != nil {
-		return 0, cause
+		return storedTable{state: tableUnknown}
 	}
 	got, err := keyrange.Decode(o.Value)
-	if err != nil || got.Term != t.Term || got.NextFence != t.NextFence {
-		return 0, cause
+	switch {
+	case err != nil || got.Term > t.Term:
+		return storedTable{state: tableUnknown}
+	case got.Term == t.Term && got.NextFence == t.NextFence && got.Era == t.Era:
+		return storedTable{tableWritten, o.Version}
 	}
-	return o.Version, nil
+	return storedTable{tableOlder, o.Version}
 }
--- /dev/null
+++ b/node/tables_test.go
@@ -0,0 +1,195 @@
+package node
+
+import (
+	"context"
+	"io"
+	"maps"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitlock.example/godwitlock/declog"
+	"godwitlock.example/godwitlock/directory"
+	"godwitlock.example/godwitlock/fleet"
+	"godwitlock.example/godwitlock/keyrange"
+	"godwitlock.example/godwitlock/leader"
+	"godwitlock.example/godwitlock/ownership"
+	"godwitlock.example/godwitlock/routemap"
+	"godwitlock.example/godwitlock/store"
+	"godwitlock.example/godwitlock/topo"
+	"godwitlock.example/godwitlock/view"
+)
+
+// erasStore is a client of a store that can return to an older copy.
+type erasStore struct {
+	store.Objects
+	mu      sync.Mutex
+	era     topo.Era
+	counter uint64
+	objects map[string]store.Object
+}
+
+func newErasStore() *erasStore { return &erasStore{objects: make(map[string]store.Object)} }
+
+func (s *erasStore) Era() topo.Era {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+func (s *erasStore) read(o store.Object) store.Object {
+	rev := topo.RevisionOf(s.era, topo.Revision(o.Version).Counter())
+	o.Version, o.Revision = uint64(rev), rev
+	return o
+}
+
+func (s *erasStore) Get(_ context.Context, key string) (store.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[key]
+	if !ok {
+		return o, store.ErrNotFound
+	}
+	return s.read(o), nil
+}
+
+func (s *erasStore) List(_ context.Context, prefix string) (store.Listing, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var l store.Listing
+	for key, o := range s.objects {
+		if strings.HasPrefix(key, prefix) {
+			l.Objects = append(l.Objects, s.read(o))
+		}
+	}
+	return l, nil
+}
+
+func (s *erasStore) Put(_ context.Context, key string, value []byte, ifVersion uint64, _ string) (store.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o, ok := s.objects[key]; ok != (ifVersion != store.MustNotExist) || ok && s.read(o).Version != ifVersion {
+		return store.Object{}, store.ErrConflict
+	}
+	s.counter++
+	s.objects[key] = store.Object{Key: key, Value: value, Version: s.counter}
+	return s.read(s.objects[key]), nil
+}
+
+// copy returns a copy of the objects, to which restore returns.
+func (s *erasStore) copy() map[string]store.Object {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.objects)
+}
+
+func (s *erasStore) restore(objects map[string]store.Object) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.objects = objects
+}
+
+const tableKey = "tables/s"
+
+func (s *erasStore) table(t *testing.T) *keyrange.Table {
+	t.Helper()
+	o, err := s.Get(t.Context(), tableKey)
+	require.NoError(t, err)
+	table, err := keyrange.Decode(o.Value)
+	require.NoError(t, err)
+	return table
+}
+
+// newTableAssigner returns the assigner of a leader of service "s", whose server "i" is
+// the only one.
+func newTableAssigner(t *testing.T, s *erasStore) *assigner {
+	t.Helper()
+	n := &Node{settings: Settings{VM: "a"}, view: view.New(), log: declog.New(io.Discard, "a"), platform: memPlatform{s}}
+	b := DefaultBounds()
+	n.activeBounds.Store(&b)
+	n.lease = newLeaseManager(s, "leader/lease", leader.Identity{VM: "a"},
+		func() leader.Candidacy { return leader.Candidacy{} }, func() int { return 0 }, n.log, func() bool { return false })
+	n.loads = newLoads(n.view)
+	n.hub = fleet.NewHub(n.view, view.Member{VM: "a"}, n.lease.Leads, n.lease.Version, n.view.Confirmed, n.loads)
+	routes, err := routemap.Compile(routemap.Config{Version: 1, Services: []routemap.Service{{Name: "s", Keyed: true}}})
+	require.NoError(t, err)
+	require.True(t, n.view.SetConfig(routes, nil, 1))
+	n.view.Directory(func(d *directory.Directory) {
+		d.Replace([]directory.Server{{ID: "i", Service: "s", State: directory.Ready, Slots: 1, StartedAtMs: 1, Rev: 1}}, 1, bootNow())
+	})
+	a := newAssigner(n, n.loads)
+	a.term, a.termStart, a.termCtx = 3, bootNow(), t.Context()
+	a.lastTableWrite, a.firstServerSeen = map[*ownership.Machine]time.Time{}, map[topo.ServiceName]time.Time{}
+	a.machines = map[topo.ServiceName]*ownership.Machine{}
+	return a
+}
+
+// storeTable writes a table in which all keys belong to server "i".
+func storeTable(t *testing.T, a *assigner, era topo.Era) {
+	t.Helper()
+	owner := keyrange.Owner{Server: "i", StartedAtMs: 1}
+	table := (&keyrange.Table{Service: "s", Term: 2, NextFence: 7, Era: era}).Assign(keyrange.Range{Last: keyrange.MaxKey, Owner: owner})
+	_, err := a.putTable(t.Context(), table, store.MustNotExist)
+	require.NoError(t, err)
+}
+
+func TestLeaderStoresItsTableAgainAfterTheStoreReturnedToAnOlderCopy(t *testing.T) {
+	for name, lost := range map[string]bool{"older table": false, "no table": true} {
+		t.Run(name, func(t *testing.T) {
+			s := newErasStore()
+			a := newTableAssigner(t, s)
+			empty := s.copy()
+			storeTable(t, a, 0)
+			before := s.copy()
+			require.True(t, a.adoptTables(t.Context(), bootNow()))
+			if lost {
+				before = empty
+			}
+			s.restore(before)
+			for deadline := time.Now().Add(time.Minute); ; {
+				a.runRound()
+				a.drainResults()
+				if o, err := s.Get(t.Context(), tableKey); err == nil && s.table(t).Era == 1 {
+					require.Equal(t, topo.Term(3), s.table(t).Term)
+					require.Equal(t, topo.Era(1), topo.Revision(o.Version).Era())
+					break
+				}
+				require.True(t, time.Now().Before(deadline), "the table of before the return is still missing")
+				time.Sleep(time.Millisecond)
+			}
+			require.Equal(t, ownership.Held, a.machines["s"].Holds()[0].Phase, "the leader knows the owner")
+		})
+	}
+}
+
+func TestNewLeaderGivesNoKeysByARestoredTable(t *testing.T) {
+	s := newErasStore()
+	a := newTableAssigner(t, s)
+	storeTable(t, a, 0)
+	s.restore(s.copy())
+	require.True(t, a.adoptTables(t.Context(), bootNow()))
+	require.Equal(t, ownership.Unknown, a.machines["s"].Holds()[0].Phase)
+	require.Equal(t, topo.Era(0), s.table(t).Era, "the leader after it must not rely on the table either")
+
+	other := newTableAssigner(t, s)
+	require.True(t, other.adoptTables(t.Context(), bootNow()))
+	require.Equal(t, ownership.Unknown, other.machines["s"].Holds()[0].Phase)
+}
+
+func TestLeaderCreatesNoTableWhileServersMayHoldKeysByALostOne(t *testing.T) {
+	s := newErasStore()
+	a := newTableAssigner(t, s)
+	s.restore(s.copy())
+	snap := a.node.view.Snapshot()
+	svc := &routemap.Service{Name: "s", Keyed: true}
+	a.startTable(a.termStart, snap, svc)
+	a.startTable(a.termStart.Add(2*registrationWait), snap, svc)
+	require.Empty(t, a.machines)
+	a.startTable(a.termStart.Add(ownership.RestoreWait(DefaultBounds().MaxHold)), snap, svc)
+	require.Contains(t, a.machines, topo.ServiceName("s"))
+	require.Greater(t, a.machines["s"].RoutingTable().NextFence, int64(keyrange.FencesPerEra))
+}
