standin/platform/site: restore the store to an earlier copy

In a drill the platform's store may come back from a copy some seconds old. No test could show what that does, because the stand-in could only fail and come back with all that it had.

Copy and Restore set the objects and the revision counter back and raise the era, which each answer carries in Store-Era. Waiting watches are cut, and one from a revision above the counter gets 410, as the platform documents it.

--- a/standin/platform/site/store.go
+++ b/standin/platform/site/store.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -36,10 +38,19 @@
 	objects      map[string]map[string]Object
 	events       []event
 	compactedRev uint64
+	era          uint64
 	changed      chan struct{}
 	fault        func(r *http.Request) Fault
 }
 
+// Copy is the content of a store at one moment.
+type Copy struct {
+	rev          uint64
+	objects      map[string]map[string]Object
+	events       []event
+	compactedRev uint64
+}
+
 // Fault describes what happens to a call.
 type Fault struct {
 	// Status, if not 0, is returned without carrying out the call.
@@ -72,6 +83,31 @@
 	s.events, s.compactedRev = nil, s.rev
 }
 
+// Copy returns a copy of the content.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{rev: s.rev, objects: cloneObjects(s.objects), events: slices.Clone(s.events), compactedRev: s.compactedRev}
+}
+
+// Restore replaces the content by an earlier copy and begins a new era. The
+// revisions after that of the copy are given out again. Waiting watches are cut.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev, s.objects, s.events, s.compactedRev = c.rev, cloneObjects(c.objects), slices.Clone(c.events), c.compactedRev
+	s.era++
+	s.notify()
+}
+
+func cloneObjects(objects map[string]map[string]Object) map[string]map[string]Object {
+	out := make(map[string]map[string]Object, len(objects))
+	for kind, named := range objects {
+		out[kind] = maps.Clone(named)
+	}
+	return out
+}
+
 // Put writes an object, as the operator or a backend server does. It panics if
 // spec cannot be encoded.
 func (s *Store) Put(kind, name string, spec any) {
@@ -101,6 +137,10 @@
 
 func (s *Store) record(e event) {
 	s.events = append(s.events, e)
+	s.notify()
+}
+
+func (s *Store) notify() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -130,6 +170,7 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	faultFor := s.fault
+	s.setEra(w)
 	s.mu.Unlock()
 	var f Fault
 	if faultFor != nil {
@@ -140,7 +181,7 @@
 		w.WriteHeader(f.Status)
 		return
 	}
-	status, body := s.serve(r)
+	status, body := s.serve(w, r)
 	if f.DropResponse {
 		panic(http.ErrAbortHandler)
 	}
@@ -151,14 +192,20 @@
 	}
 }
 
-func (s *Store) serve(r *http.Request) (int, any) {
+// setEra sets the header that gives the era. The caller holds s.mu.
+func (s *Store) setEra(w http.ResponseWriter) {
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+}
+
+func (s *Store) serve(w http.ResponseWriter, r *http.Request) (int, any) {
 	path := strings.TrimPrefix(r.URL.Path, "/objects/")
 	kind, name, _ := strings.Cut(path, "/")
 	if r.Method == http.MethodGet && name == "" && r.URL.Query().Has("watch") {
-		return s.watch(r, kind)
+		return s.watch(w, r, kind)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(w)
 	switch {
 	case r.Method == http.MethodGet && name == "":
 		return s.list(kind, r.URL.Query().Get("after"))
@@ -212,14 +259,22 @@
 
 // watch waits for events of a kind after the given revision, for at most the
 // given time.
-func (s *Store) watch(r *http.Request, kind string) (int, any) {
+func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string) (int, any) {
 	after, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
+	s.mu.Lock()
+	s.setEra(w)
+	era := s.era
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
-		if after < s.compactedRev {
+		if s.era != era {
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		if after < s.compactedRev || after > s.rev {
 			s.mu.Unlock()
 			return http.StatusGone, nil
 		}
