platform, node: log when the store comes back from an older copy

The client of the store keeps the highest era that a response showed and reports the first one and each change; the node logs it as store_era, once, and serves it as the gauge store_era. A failure without the header tells nothing. Behaviour is unchanged.

--- a/node/node.go
+++ b/node/node.go
@@ -87,6 +87,7 @@
 	rates        *fleet.Rates
 	assigner     *assigner
 	storeCalls   storeCallCounter
+	storeEra     storeEra
 	notices      *notices
 	// lastCandidate is the index of the candidate that answered last; only
 	// runCandidates uses it.
@@ -130,6 +131,7 @@
 	boot := uuid.NewString()
 	n.storeCalls.metrics, n.storeCalls.log = n.metrics, n.log
 	n.platform.CountCalls(n.storeCalls.count)
+	n.platform.OnStoreEra(n.recordStoreEra)
 	n.peers = peer.NewPool(insecure.NewCredentials(), nil)
 	n.lease = newLeaseManager(n.platform.Objects(), n.platform.InternalKey("leader", "lease"),
 		leader.Identity{VM: n.settings.VM, Boot: boot, Addr: n.settings.PeerAddr},
@@ -168,6 +170,7 @@
 
 func (n *Node) registerGauges() {
 	n.metrics.Gauge("config_age_seconds", func() float64 { return clock.Boot().Sub(n.view.Confirmed()).Seconds() })
+	n.metrics.Gauge("store_era", func() float64 { return float64(n.storeEra.current()) })
 	n.metrics.Gauge("caller_connections", func() float64 { return float64(n.ingress.OpenConnections()) })
 	n.metrics.Gauge("home_waiting", func() float64 { w, _ := n.broker.Depth(); return float64(w) })
 	n.metrics.Gauge("home_running", func() float64 { _, r := n.broker.Depth(); return float64(r) })
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -140,6 +140,7 @@
 func (memPlatform) OnServerNotice(func(topo.Incarnation, egress.Notice)) {}
 func (p memPlatform) Objects() store.Objects                             { return p.objects }
 func (memPlatform) CountCalls(func(string, string, time.Duration))       {}
+func (memPlatform) OnStoreEra(func(topo.Era))                            {}
 func (memPlatform) ConfigKey() string                                    { return "config/main" }
 func (memPlatform) Prefixes() Prefixes                                   { return Prefixes{} }
 func (memPlatform) InternalKey(kind, name string) string                 { return kind + "/" + name }
--- a/node/settings.go
+++ b/node/settings.go
@@ -84,6 +84,9 @@
 	// its method, the kind of object and its duration. The duration excludes the
 	// time that a watch waits for changes.
 	CountCalls(f func(method, kind string, took time.Duration))
+	// OnStoreEra registers f, which is called with the era of the store in its first
+	// response, and once for each later era. It must be called before Objects.
+	OnStoreEra(f func(topo.Era))
 	// ConfigKey returns the key of the object that holds the configuration.
 	// Prefixes returns the key prefixes of the configuration, the servers and
 	// the evacuated data centres.
