--- a/node/era.go
+++ b/node/era.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 
+	"github.com/rs/zerolog"
+
 	"godwitlock.example/godwitlock/topo"
 )
 
@@ -36,3 +38,13 @@
 		n.log.Event("store_era").Uint64("era", uint64(era)).Bool("restored", restored).Send()
 	}
 }
+
+// revision adds a revision of the store to a log line: the value of the store's
+// counter, and the era unless it is the first one.
+func revision(e *zerolog.Event, rev topo.Revision) *zerolog.Event {
+	e = e.Uint64("rev", rev.Counter())
+	if rev.Era() > 0 {
+		e = e.Uint64("era", uint64(rev.Era()))
+	}
+	return e
+}
--- a/node/era_test.go
+++ b/node/era_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"godwitlock.example/godwitlock/declog"
+	"godwitlock.example/godwitlock/topo"
 )
 
 // Guards against a log that does not show when the store came back from an older
@@ -25,3 +26,16 @@
 	require.Equal(t, 3.0, lines[1]["era"])
 	require.Equal(t, true, lines[1]["restored"])
 }
+
+// Guards against a log whose revisions cannot be found in the store.
+func TestRevisionsAreLoggedAsTheStoreCountsThem(t *testing.T) {
+	var out bytes.Buffer
+	log := declog.New(&out, "a")
+	revision(log.Event("x"), 7).Send()
+	revision(log.Event("x"), topo.RevisionOf(2, 5)).Send()
+	lines := logLines(t, log, &out, "x")
+	require.Equal(t, 7.0, lines[0]["rev"])
+	require.NotContains(t, lines[0], "era")
+	require.Equal(t, 5.0, lines[1]["rev"])
+	require.Equal(t, 2.0, lines[1]["era"])
+}
--- a/node/node.go
+++ b/node/node.go
@@ -229,7 +229,7 @@
 		return err
 	}
 	if n.view.SetConfig(m, raw, rev) {
-		n.log.Event("config_in_force").Int64("version", m.Version).Int64("rev", rev).Send()
+		revision(n.log.Event("config_in_force").Int64("version", m.Version), topo.Revision(rev)).Send()
 	}
 	return nil
 }
--- a/node/watch.go
+++ b/node/watch.go
@@ -214,8 +214,7 @@
 		},
 		applyEvent: func(e store.Event, _ time.Time) {
 			name := topo.DataCentreName(n.platform.Name(e.Key))
-			n.log.Event("data_centre").Str("data_centre", string(name)).Bool("in_service", e.Deleted).
-				Uint64("rev", uint64(e.Revision)).Send()
+			revision(n.log.Event("data_centre").Str("data_centre", string(name)).Bool("in_service", e.Deleted), e.Revision).Send()
 			if e.Deleted {
 				delete(evacuated, name)
 			} else {
@@ -239,7 +238,7 @@
 		return
 	}
 	if err := n.setConfig(o.Value, int64(o.Revision)); err != nil {
-		n.log.Event("config_refused").Uint64("rev", uint64(o.Revision)).Err(err).Send()
+		revision(n.log.Event("config_refused"), o.Revision).Err(err).Send()
 	}
 }
 
@@ -259,7 +258,7 @@
 func (n *Node) changeServer(e store.Event, now time.Time) {
 	id := topo.ServerID(n.platform.Name(e.Key))
 	if e.Deleted {
-		n.log.Event("server_gone").Str("server", string(id)).Uint64("rev", uint64(e.Revision)).Send()
+		revision(n.log.Event("server_gone").Str("server", string(id)), e.Revision).Send()
 		n.view.Directory(func(d *directory.Directory) { d.Remove(id, int64(e.Revision), now) })
 		return
 	}
@@ -270,7 +269,8 @@
 		n.view.Directory(func(d *directory.Directory) { d.Remove(id, int64(e.Revision), now) })
 		return
 	}
-	n.log.Event("server").Str("server", string(id)).Str("service", string(s.Service)).Uint8("state", uint8(s.State)).
-		Int64("born", s.StartedAtMs).Dur("cold_ms", s.ColdFor).Int64("rev", s.Rev).Send()
+	line := n.log.Event("server").Str("server", string(id)).Str("service", string(s.Service)).Uint8("state", uint8(s.State)).
+		Int64("born", s.StartedAtMs).Dur("cold_ms", s.ColdFor)
+	revision(line, e.Revision).Send()
 	n.view.Directory(func(d *directory.Directory) { d.Put(s) })
 }
