store/memstore: restore the store to an earlier copy

Tests of package node need a store that comes back from an older copy, as the platform's does in a drill, and memstore could not. Copy and Restore set the content and the counters back and raise the era, which the returned versions and revisions carry in their upper bits, as those of the platform's client do. The contract of the first era is unchanged: versions count the writes of an object.

--- a/store/memstore/memstore.go
+++ b/store/memstore/memstore.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"context"
+	"maps"
 	"slices"
 	"sort"
 	"strings"
@@ -21,9 +22,11 @@
 // DefaultHistoryEvents is the number of past events that New keeps for watches.
 const DefaultHistoryEvents = 10_000
 
-// sharedState is the content that all access points to one store share.
+// sharedState is the content that all access points to one store share. Versions and
+// revisions in it are without the era.
 type sharedState struct {
 	mu        sync.Mutex
+	era       topo.Era
 	objects   map[string]store.Object
 	revision  topo.Revision
 	events    []store.Event // in order; the oldest has revision compacted+1
@@ -73,7 +76,7 @@
 	if !ok {
 		return store.Object{}, store.ErrNotFound
 	}
-	return clone(obj), nil
+	return s.shared.inEra(clone(obj)), nil
 }
 
 // List implements store.Store.
@@ -83,10 +86,10 @@
 	}
 	s.shared.mu.Lock()
 	defer s.shared.mu.Unlock()
-	l := store.Listing{Revision: s.shared.revision}
+	l := store.Listing{Revision: topo.RevisionOf(s.shared.era, uint64(s.shared.revision))}
 	for key, obj := range s.shared.objects {
 		if strings.HasPrefix(key, prefix) {
-			l.Objects = append(l.Objects, clone(obj))
+			l.Objects = append(l.Objects, s.shared.inEra(clone(obj)))
 		}
 	}
 	sort.Slice(l.Objects, func(i, j int) bool { return l.Objects[i].Key < l.Objects[j].Key })
@@ -189,23 +192,63 @@
 func (s *Store) Compact(upTo topo.Revision) {
 	s.shared.mu.Lock()
 	defer s.shared.mu.Unlock()
-	s.shared.compact(min(upTo, s.shared.revision))
+	s.shared.compact(min(topo.Revision(upTo.Counter()), s.shared.revision))
+	s.shared.notify()
+}
+
+// Copy is the content of a store at one moment.
+type Copy struct {
+	objects             map[string]store.Object
+	events              []store.Event
+	revision, compacted topo.Revision
+}
+
+// Copy returns a copy of the content.
+func (s *Store) Copy() Copy {
+	s.shared.mu.Lock()
+	defer s.shared.mu.Unlock()
+	return Copy{
+		objects: maps.Clone(s.shared.objects), events: slices.Clone(s.shared.events),
+		revision: s.shared.revision, compacted: s.shared.compacted,
+	}
+}
+
+// Restore replaces the content by an earlier copy and begins a new era. The store
+// counts versions and revisions on from the copy, but returns them with the era in
+// their upper bits, so that they are higher than those of earlier eras. Waiting
+// watches fail with ErrCompacted.
+func (s *Store) Restore(c Copy) {
+	s.shared.mu.Lock()
+	defer s.shared.mu.Unlock()
+	s.shared.objects, s.shared.events = maps.Clone(c.objects), slices.Clone(c.events)
+	s.shared.revision, s.shared.compacted = c.revision, c.compacted
+	s.shared.era++
 	s.shared.notify()
 }
 
+// inEra returns the object with the era in its version and revision. An absent
+// object keeps version 0. The caller holds st.mu.
+func (st *sharedState) inEra(o store.Object) store.Object {
+	if o.Version != 0 {
+		o.Version = uint64(topo.RevisionOf(st.era, o.Version))
+	}
+	o.Revision = topo.RevisionOf(st.era, uint64(o.Revision))
+	return o
+}
+
 func (st *sharedState) put(key string, value []byte, ifVersion uint64, writer string) (store.Object, error) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	cur := st.objects[key]
-	if cur.Version != ifVersion {
+	cur, ok := st.objects[key]
+	if ok != (ifVersion != store.MustNotExist) || ok && st.inEra(cur).Version != ifVersion {
 		cur.Key, cur.Value = key, nil
-		return cur, store.ErrConflict
+		return st.inEra(cur), store.ErrConflict
 	}
 	st.revision++
-	obj := store.Object{Key: key, Value: value, Version: ifVersion + 1, Revision: st.revision, Writer: writer}
+	obj := store.Object{Key: key, Value: value, Version: cur.Version + 1, Revision: st.revision, Writer: writer}
 	st.objects[key] = obj
 	st.record(store.Event{Object: obj})
-	return obj, nil
+	return st.inEra(obj), nil
 }
 
 func (st *sharedState) remove(key string, ifVersion uint64, writer string) (store.Object, error) {
@@ -216,14 +259,14 @@
 		return store.Object{}, store.ErrNotFound
 	}
 	cur.Value = nil
-	if cur.Version != ifVersion {
-		return cur, store.ErrConflict
+	if st.inEra(cur).Version != ifVersion {
+		return st.inEra(cur), store.ErrConflict
 	}
 	st.revision++
 	delete(st.objects, key)
 	cur.Revision, cur.Writer = st.revision, writer
 	st.record(store.Event{Object: cur, Deleted: true})
-	return cur, nil
+	return st.inEra(cur), nil
 }
 
 func (st *sharedState) record(ev store.Event) {
@@ -250,13 +293,14 @@
 func (st *sharedState) changes(prefix string, after topo.Revision) (store.Changes, <-chan struct{}, error) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	if after < st.compacted || after > st.revision {
+	counter := topo.Revision(after.Counter())
+	if after.Era() != st.era || counter < st.compacted || counter > st.revision {
 		return store.Changes{}, nil, store.ErrCompacted
 	}
-	ch := store.Changes{Revision: st.revision}
-	for _, ev := range st.events[after-st.compacted:] {
+	ch := store.Changes{Revision: topo.RevisionOf(st.era, uint64(st.revision))}
+	for _, ev := range st.events[counter-st.compacted:] {
 		if strings.HasPrefix(ev.Key, prefix) {
-			ev.Object = clone(ev.Object)
+			ev.Object = st.inEra(clone(ev.Object))
 			ch.Events = append(ch.Events, ev)
 		}
 	}
--- a/store/memstore/memstore_test.go
+++ b/store/memstore/memstore_test.go
@@ -227,3 +227,49 @@
 		require.Error(t, err, key)
 	}
 }
+
+// Guards against a restored store that keeps later writes, gives out versions or
+// revisions that it gave out before, or leaves watches of the earlier era waiting.
+func TestRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, st := t.Context(), New()
+		first, err := st.Put(ctx, "a", []byte("1"), 0, "w1")
+		require.NoError(t, err)
+		earlier := st.Copy()
+		second, err := st.Put(ctx, "a", []byte("2"), first.Version, "w2")
+		require.NoError(t, err)
+		_, err = st.Put(ctx, "b", nil, 0, "w3")
+		require.NoError(t, err)
+		before, err := st.List(ctx, "")
+		require.NoError(t, err)
+		watchErr := make(chan error, 1)
+		go func() {
+			_, err := st.Watch(ctx, "", before.Revision, time.Hour)
+			watchErr <- err
+		}()
+		synctest.Wait()
+		st.Restore(earlier)
+		require.ErrorIs(t, <-watchErr, store.ErrCompacted)
+
+		after, err := st.List(ctx, "")
+		require.NoError(t, err)
+		require.Len(t, after.Objects, 1)
+		require.Equal(t, "1", string(after.Objects[0].Value))
+		require.Equal(t, topo.Era(1), after.Revision.Era())
+		require.Equal(t, first.Revision.Counter(), after.Objects[0].Revision.Counter())
+		_, err = st.Put(ctx, "a", []byte("3"), first.Version, "w4")
+		require.ErrorIs(t, err, store.ErrConflict)
+		third, err := st.Put(ctx, "a", []byte("3"), after.Objects[0].Version, "w4")
+		require.NoError(t, err)
+		require.Greater(t, third.Version, second.Version)
+		_, err = st.Put(ctx, "a", []byte("4"), second.Version, "w5")
+		require.ErrorIs(t, err, store.ErrConflict)
+		ch, err := st.Watch(ctx, "", after.Revision, 0)
+		require.NoError(t, err)
+		require.Len(t, ch.Events, 1)
+		require.Equal(t, third, ch.Events[0].Object)
+		_, err = st.Put(ctx, "b", nil, 0, "w6")
+		require.NoError(t, err)
+		require.NoError(t, st.Delete(ctx, "a", third.Version, "w7"))
+	})
+}
