--- /dev/null
+++ b/node/era_test.go
@@ -0,0 +1,41 @@
+package node
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitlock.example/godwitlock/declog"
+	"godwitlock.example/godwitlock/topo"
+)
+
+// Guards against a log that does not show when the store came back from an older
+// copy, or shows the era that a process finds at its start as such a return.
+func TestEraOfTheStoreIsLogged(t *testing.T) {
+	var out bytes.Buffer
+	n := &Node{log: declog.New(&out, "a")}
+	n.recordStoreEra(2)
+	n.recordStoreEra(3)
+	n.recordStoreEra(3)
+	n.recordStoreEra(2)
+	lines := logLines(t, n.log, &out, "store_era")
+	require.Len(t, lines, 2)
+	require.Equal(t, 2.0, lines[0]["era"])
+	require.Equal(t, false, lines[0]["restored"])
+	require.Equal(t, 3.0, lines[1]["era"])
+	require.Equal(t, true, lines[1]["restored"])
+}
+
+// Guards against a log whose revisions cannot be found in the store.
+func TestRevisionsAreLoggedAsTheStoreCountsThem(t *testing.T) {
+	var out bytes.Buffer
+	log := declog.New(&out, "a")
+	revision(log.Event("x"), 7).Send()
+	revision(log.Event("x"), topo.RevisionOf(2, 5)).Send()
+	lines := logLines(t, log, &out, "x")
+	require.Equal(t, 7.0, lines[0]["rev"])
+	require.NotContains(t, lines[0], "era")
+	require.Equal(t, 5.0, lines[1]["rev"])
+	require.Equal(t, 2.0, lines[1]["era"])
+}
