--- a/node/assigner.go
+++ b/node/assigner.go
@@ -265,16 +265,6 @@
 	}
 }
 
-// lostTableWait returns how long after the beginning of its term the leader waits
-// before it creates a table: the store may have lost one, and servers may still hold
-// keys by it.
-func (a *assigner) lostTableWait() time.Duration {
-	if store.EraOf(a.node.platform.Objects()) == 0 {
-		return 0
-	}
-	return ownership.RestoreWait(a.node.bounds().MaxHold)
-}
-
 // publish sends the tables to all VMs if any of them changed.
 func (a *assigner) publish() {
 	changes := uint64(0)
--- a/node/lease.go
+++ b/node/lease.go
@@ -34,7 +34,9 @@
 	candidacy func() leader.Candidacy
 	// members returns the number of VMs in the list in force; 0 if there is none.
 	members func() int
-	wake    chan struct{}
+	// pristine reports whether the store cannot have lost a lease. It may be nil.
+	pristine func() bool
+	wake     chan struct{}
 
 	mu            sync.Mutex
 	lease         *leader.Lease
@@ -170,7 +172,7 @@
 	now := clock.Boot()
 	switch {
 	case errors.Is(err, store.ErrNotFound):
-		m.lease.Observed(now, leader.VersionedRecord{Version: uint64(topo.RevisionOf(store.EraOf(m.objects), 0))})
+		m.lease.Observed(now, m.absentLease())
 	case err != nil:
 		m.lease.Failed(now, false)
 	default:
@@ -184,6 +186,16 @@
 	}
 }
 
+// absentLease returns the state of a lease that the store does not have.
+func (m *leaseManager) absentLease() leader.VersionedRecord {
+	era := store.EraOf(m.objects)
+	v := leader.VersionedRecord{Version: uint64(topo.RevisionOf(era, 0))}
+	if m.pristine != nil && m.pristine() {
+		v.Record.Era = era
+	}
+	return v
+}
+
 func (m *leaseManager) write(ctx context.Context, step leader.Step) {
 	ctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
 	defer cancel()
--- a/node/node.go
+++ b/node/node.go
@@ -138,6 +138,7 @@
 		func() leader.Candidacy {
 			return candidacyOf(n.settings.VM, n.settings.CPUShare, n.view.Snapshot().Members)
 		}, func() int { return len(n.view.Snapshot().Members) }, n.log, n.leaderStale)
+	n.lease.pristine = n.pristineStore
 	n.follower = fleet.NewFollower(self, boot, n.view, n.peers, n.setConfig, n.lease.RecordLeaseVersion)
 	n.loads = newLoads(n.view)
 	n.assigner = newAssigner(n, n.loads)
--- a/node/settings.go
+++ b/node/settings.go
@@ -26,7 +26,9 @@
 	MaxFiles    int
 	// CPUShare is the share of one CPU core that the VM has; 0 means a whole core.
 	CPUShare float64
-	Bounds   Bounds
+	// Bootstrap says that the whole system starts for the first time.
+	Bootstrap bool
+	Bounds    Bounds
 }
 
 // Bounds are the limits that the deployment guarantees to its users.
--- a/node/tables.go
+++ b/node/tables.go
@@ -51,15 +51,37 @@
 	return true
 }
 
+// firstStoreEra is the era of a store that never returned to an older copy.
+const firstStoreEra topo.Era = 1
+
+// pristineStore reports whether the store cannot have lost a lease or a table: the
+// whole system starts for the first time.
+func (n *Node) pristineStore() bool {
+	return n.settings.Bootstrap && store.EraOf(n.platform.Objects()) <= firstStoreEra
+}
+
 // newTable returns the first table of a service, or of one whose table the store may
 // have lost.
 func (a *assigner) newTable(service topo.ServiceName) *keyrange.Table {
 	era := store.EraOf(a.node.platform.Objects())
-	t := (&keyrange.Table{Service: service, Term: a.term, NextFence: 1}).SkipLostFences(era)
+	t := &keyrange.Table{Service: service, Term: a.term, NextFence: 1}
+	if !a.node.pristineStore() {
+		t = t.SkipLostFences(era)
+	}
 	t.Era = era
 	return t
 }
 
+// lostTableWait returns how long after the beginning of its term the leader waits
+// before it creates a table: the store may have lost one, and servers may still hold
+// keys by it.
+func (a *assigner) lostTableWait() time.Duration {
+	if store.EraOf(a.node.platform.Objects()) == 0 || a.node.pristineStore() {
+		return 0
+	}
+	return ownership.RestoreWait(a.node.bounds().MaxHold)
+}
+
 func (a *assigner) putTable(ctx context.Context, t *keyrange.Table, version uint64) (uint64, error) {
 	data, err := t.Encode()
 	if err != nil {
--- a/node/tables_test.go
+++ b/node/tables_test.go
@@ -180,6 +180,20 @@
 	require.Equal(t, ownership.Unknown, other.machines["s"].Holds()[0].Phase)
 }
 
+func TestFirstStartDoesNotWaitForLostTables(t *testing.T) {
+	s := newErasStore()
+	s.restore(map[string]store.Object{})
+	a := newTableAssigner(t, s)
+	a.node.settings.Bootstrap = true
+	a.node.lease.pristine = a.node.pristineStore
+	require.Equal(t, leader.Record{Era: 1}, a.node.lease.absentLease().Record)
+	require.Zero(t, a.lostTableWait())
+	require.Equal(t, int64(1), a.newTable("s").NextFence)
+	s.restore(map[string]store.Object{})
+	require.Equal(t, leader.Record{}, a.node.lease.absentLease().Record, "the store has returned to a copy since")
+	require.Positive(t, a.lostTableWait())
+}
+
 func TestLeaderCreatesNoTableWhileServersMayHoldKeysByALostOne(t *testing.T) {
 	s := newErasStore()
 	a := newTableAssigner(t, s)
