leader, node: the last leader goes on after the store returned to an older copy

A process whose lease had not ended when it first saw the era is the last leader of before, since any other would have had to wait for that end. It reads the lease at once and takes it back under its term, as long as nobody has written it in the new era, and its assigner goes on with the tables in memory; orders in flight count as unanswered.

--- a/leader/lease.go
+++ b/leader/lease.go
@@ -113,13 +113,17 @@
 	observed      bool
 	// lastObserved is the time of the last observation, also of the same version.
 	lastObserved time.Time
-	// expiry is the end of the lease; zero if this process does not hold it.
-	expiry time.Time
+	// expiry is the end of the lease; zero if this process does not hold it. heldUntil
+	// keeps it after the lease has lapsed.
+	expiry, heldUntil time.Time
 	// lastWriteSent is the time at which the last write was sent, and
 	// firstUnconfirmedSent that of the first write whose effect is unknown.
 	lastWriteSent, firstUnconfirmedSent time.Time
 	nextActionAt                        time.Time
 	urgent                              bool
+	// resumeEra is the newest era of the store that began while this process held the
+	// lease.
+	resumeEra topo.Era
 	// conflict is set from a rejected write until the next read.
 	conflict  bool
 	resigning bool
@@ -168,6 +172,24 @@
 // Version returns the newest observed version of the lease.
 func (l *Lease) Version() uint64 { return l.current.Version }
 
+// SetEra records that the store has shown an era. At the first sight of a new one the
+// lease is read at once. A process whose lease has not ended by then is the last holder
+// of before, and takes the lease back as long as no other process has acquired it since.
+func (l *Lease) SetEra(now time.Time, era topo.Era) {
+	if !l.observed || era <= l.current.era() {
+		return
+	}
+	if now.Before(l.heldUntil) {
+		l.resumeEra = era
+	}
+	l.observed, l.conflict, l.nextActionAt = false, true, now
+}
+
+// resumes reports whether this process may take the lease back under its last term.
+func (l *Lease) resumes() bool {
+	return l.current.restored() && l.resumeEra == l.current.era() && l.current.Record.Holder == l.self
+}
+
 // Resign makes the next step release the lease if the process holds it. The
 // process never acquires it again. settled states that none of its orders can
 // still take effect.
@@ -192,6 +214,9 @@
 	if l.resigning || !l.mayAcquire(now) || l.candidacy.isReserve() && now.Sub(l.lastObserved) > recentRead {
 		return Step{Action: Read}
 	}
+	if l.resumes() {
+		return l.renew(now)
+	}
 	last := l.current.Record
 	l.predecessorSettled, l.predecessorMembers = last.Settled && !l.current.restored(), last.Members
 	lostTerms := topo.Term(l.current.era()-last.Era) * termsPerEra
@@ -208,7 +233,7 @@
 	}
 	if l.resigning {
 		record.Holder, record.Settled = Identity{}, l.settled
-		l.expiry = time.Time{}
+		l.expiry, l.heldUntil = time.Time{}, time.Time{}
 	}
 	return l.write(now, record)
 }
@@ -226,6 +251,8 @@
 func (l *Lease) mayAcquire(now time.Time) bool {
 	holder := l.current.Record.Holder
 	switch {
+	case l.resumes():
+		return true
 	case l.current.restored():
 		// A lost record may name another holder, which renewed the lease until the
 		// store returned.
@@ -260,12 +287,13 @@
 	}
 	switch {
 	case l.current.Record.Holder != l.self:
-		l.expiry = time.Time{}
+		l.expiry, l.heldUntil = time.Time{}, time.Time{}
 	case !l.resigning && l.expiry.IsZero() && !l.firstUnconfirmedSent.IsZero() && !l.current.restored():
 		// A write took effect and its response was lost. It may have been the
 		// first of several unconfirmed writes, so the lease counts from the
 		// first.
 		l.expiry = l.firstUnconfirmedSent.Add(TTL)
+		l.heldUntil = l.expiry
 	}
 	l.firstUnconfirmedSent = time.Time{}
 	l.nextActionAt = now.Add(l.pollDelay(now))
@@ -339,6 +367,7 @@
 	l.expiry, l.firstUnconfirmedSent = time.Time{}, time.Time{}
 	if record.Holder == l.self {
 		l.expiry = l.lastWriteSent.Add(TTL)
+		l.heldUntil = l.expiry
 	}
 	l.nextActionAt = l.lastWriteSent.Add(RenewInterval)
 	if l.resigning {
--- a/node/assigner.go
+++ b/node/assigner.go
@@ -97,7 +97,28 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	start := clock.Boot()
-	a.term, a.termStart, a.version, a.publishedChanges, a.ordersInFlight, a.termCtx = term, start, uint64(start.UnixNano()), 0, 0, ctx
+	resumed := term == a.term && a.machines != nil
+	a.termCtx, a.ordersInFlight = ctx, 0
+	if resumed {
+		a.resume(start)
+	} else if !a.beginTerm(ctx, start, term) {
+		return
+	}
+	a.runRounds(ctx)
+}
+
+// resume continues a term that was interrupted; see leader.Lease.SetEra.
+func (a *assigner) resume(now time.Time) {
+	a.node.log.Event("term_resumed").Uint64("term", uint64(a.term)).Send()
+	clear(a.lastTableWrite)
+	for _, m := range a.machines {
+		m.Resume(now)
+	}
+}
+
+// beginTerm loads the tables for a new term. It returns false if the term ends before.
+func (a *assigner) beginTerm(ctx context.Context, start time.Time, term topo.Term) bool {
+	a.term, a.termStart, a.version, a.publishedChanges = term, start, uint64(start.UnixNano()), 0
 	a.machines = make(map[topo.ServiceName]*ownership.Machine)
 	a.firstServerSeen = make(map[topo.ServiceName]time.Time)
 	a.lastTableWrite = make(map[*ownership.Machine]time.Time)
@@ -105,10 +126,17 @@
 	a.node.hub.BeginTerm(start, a.node.lease.PredecessorMembers())
 	for !a.adoptTables(ctx, start) {
 		if !a.leads() || ctx.Err() != nil {
-			return
+			// The tables are incomplete, so the term cannot be resumed.
+			a.machines = nil
+			return false
 		}
 		pause(ctx, assignInterval)
 	}
+	return true
+}
+
+// runRounds assigns keys until the term ends or is interrupted.
+func (a *assigner) runRounds(ctx context.Context) {
 	t := time.NewTimer(0)
 	defer t.Stop()
 	for a.leads() && ctx.Err() == nil {
--- a/node/lease.go
+++ b/node/lease.go
@@ -128,6 +128,7 @@
 		m.lease.SetUrgent(leaderStale, now)
 		m.lease.SetCandidacy(m.candidacy())
 		m.lease.SetMembers(m.members())
+		m.lease.SetEra(now, store.EraOf(m.objects))
 		step := m.lease.Next(now)
 		m.mu.Unlock()
 		switch step.Action {
--- a/node/tables.go
+++ b/node/tables.go
@@ -118,6 +118,9 @@
 			found = a.readBack(ctx, t)
 		}
 		a.results.Put(ctx, func() {
+			if a.termCtx != ctx {
+				return
+			}
 			if found.state != tableWritten {
 				a.node.log.Event("table_unwritten").Str("service", string(t.Service)).Uint8("found", uint8(found.state)).Err(err).Send()
 			}
--- a/node/tables_test.go
+++ b/node/tables_test.go
@@ -166,6 +166,23 @@
 	}
 }
 
+func TestLeaderKeepsItsTablesWhenItsTermResumes(t *testing.T) {
+	s := newErasStore()
+	a := newTableAssigner(t, s)
+	storeTable(t, a, 0)
+	before := s.copy()
+	require.True(t, a.adoptTables(t.Context(), bootNow()))
+	m := a.machines["s"]
+	s.restore(before)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	a.runTerm(ctx, 3)
+	require.Same(t, m, a.machines["s"], "the process is the last leader of before")
+	require.Equal(t, ownership.Held, m.Holds()[0].Phase)
+	a.runTerm(ctx, 4)
+	require.Equal(t, ownership.Unknown, a.machines["s"].Holds()[0].Phase, "other leaders may have moved keys before a new term")
+}
+
 func TestNewLeaderGivesNoKeysByARestoredTable(t *testing.T) {
 	s := newErasStore()
 	a := newTableAssigner(t, s)
--- a/ownership/era_test.go
+++ b/ownership/era_test.go
@@ -32,6 +32,21 @@
 	require.Equal(t, Grant, m.Tick(now.Add(RenewInterval), math.MaxInt, usable)[0].Kind)
 }
 
+func TestOrdersInFlightCountAsUnansweredWhenATermResumes(t *testing.T) {
+	m, now := newGrantedMachine(t)
+	now = now.Add(RenewInterval)
+	require.Len(t, m.Tick(now, math.MaxInt, usable), 1)
+	m.SetEra(1)
+	_, _, ok := m.Pending()
+	require.True(t, ok)
+	now = now.Add(time.Second)
+	m.Resume(now)
+	require.False(t, m.Holds()[0].Movable(now.Add(HoldTime)), "the grant in flight may still take effect")
+	require.Len(t, m.Tick(now, math.MaxInt, usable), 1, "the hold is renewed")
+	_, _, ok = m.Pending()
+	require.True(t, ok, "the table is stored again")
+}
+
 func TestKeysOfARestoredTableHaveNoOwnerBeforeAllHoldsExpired(t *testing.T) {
 	table := (&keyrange.Table{Service: "s", NextFence: 5}).Assign(keyrange.Range{Last: keyrange.MaxKey, Owner: ownerA})
 	m := NewRestored(start, table, 7, 10*time.Second, 1)
--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -368,6 +368,20 @@
 // answer. Pending then returns the table again with the same version.
 func (m *Machine) StoreFailed() { m.pending = nil }
 
+// Resume continues after a time in which the leader did not hold its lease and no other
+// process did. The results of what was in progress are lost.
+func (m *Machine) Resume(now time.Time) {
+	m.pending = nil
+	for _, h := range m.holds {
+		if !h.inFlight {
+			continue
+		}
+		h.inFlight, h.nextOrderAt = false, now
+		h.holdBound = now.Add(m.maxHoldDuration() + maxTransit)
+		h.unansweredBound = h.holdBound
+	}
+}
+
 // StoreOverwritten records that the write of the pending table was rejected because
 // the store has an older table under the given version. Pending then returns the table
 // again, to replace that version.
