view, node: versions of the configuration never go back with the store

A VM whose configuration was newer than that of the restored store ignored the older one, but forgot its revision. The leader that had read it (it had started again) sent it to that VM with each Follow call, which returned at once for as long as the operator had not written the newer version again. No line of the log told why a configuration was ignored.

Versions written again that are newer come into force at once. The event config_older names the reason: a stale read, a restored store, or an older version that was written.

Open: a VM that starts after the restore and reads the store itself has the restored version until the operator writes the newer one again, also where other VMs know it.

--- a/fleet/relay_test.go
+++ b/fleet/relay_test.go
@@ -9,6 +9,7 @@
 	"godwitlock.example/godwitlock/clock"
 	"godwitlock.example/godwitlock/directory"
 	"godwitlock.example/godwitlock/fleet/fleetpb"
+	"godwitlock.example/godwitlock/routemap"
 	"godwitlock.example/godwitlock/topo"
 	"godwitlock.example/godwitlock/view"
 )
@@ -67,3 +68,43 @@
 	require.NoError(t, err)
 	require.Zero(t, resp.GetServersRev(), "nothing changed")
 }
+
+// Guards against a leader that sends its configuration again and again to a VM which
+// ignores it: the store came back from an older copy before the leader read it, and
+// the VM knows a newer version.
+func TestOlderConfigurationIsSentOnce(t *testing.T) {
+	config := func(version int64) (*routemap.Map, []byte) {
+		return &routemap.Map{Version: version}, []byte{byte(version)}
+	}
+	restored := int64(topo.RevisionOf(1, 50))
+	h := newTestHub()
+	m, raw := config(10)
+	require.True(t, h.view.SetConfig(m, raw, restored))
+	v := view.New()
+	m, raw = config(12)
+	require.True(t, v.SetConfig(m, raw, 70))
+	f := NewFollower(view.Member{VM: "b"}, "boot", v, nil, func(raw []byte, rev int64) error {
+		v.SetConfig(&routemap.Map{Version: int64(raw[0])}, raw, rev)
+		return nil
+	}, func(view.Member, topo.Term, uint64) {})
+	follow := func() *fleetpb.FollowResponse {
+		req := f.request(false)
+		req.WaitMs = 1
+		resp, err := h.follow(t.Context(), req)
+		require.NoError(t, err)
+		require.NoError(t, f.apply(view.Member{VM: "a"}, resp, clock.Boot()))
+		return resp
+	}
+	require.NotEmpty(t, follow().GetConfigGzip())
+	require.Equal(t, int64(12), v.Snapshot().Routes.Version)
+	require.Empty(t, follow().GetConfigGzip())
+
+	// The operator writes the versions again that were lost.
+	for i, version := range []int64{11, 12, 13} {
+		m, raw = config(version)
+		h.view.SetConfig(m, raw, restored+1+int64(i))
+		follow()
+		require.Equal(t, max(12, version), v.Snapshot().Routes.Version)
+		require.Empty(t, follow().GetConfigGzip())
+	}
+}
--- a/node/era.go
+++ b/node/era.go
@@ -48,3 +48,15 @@
 	}
 	return e
 }
+
+// olderBecause returns why an object read at rev is older than what was known at the
+// revision have.
+func olderBecause(rev, have topo.Revision) string {
+	switch {
+	case rev < have:
+		return "stale_read"
+	case rev.Era() > have.Era():
+		return "store_restored"
+	}
+	return "written_older"
+}
--- a/node/era_test.go
+++ b/node/era_test.go
@@ -7,7 +7,9 @@
 	"github.com/stretchr/testify/require"
 
 	"godwitlock.example/godwitlock/declog"
+	"godwitlock.example/godwitlock/routemap"
 	"godwitlock.example/godwitlock/topo"
+	"godwitlock.example/godwitlock/view"
 )
 
 // Guards against a log that does not show when the store came back from an older
@@ -39,3 +41,29 @@
 	require.Equal(t, 5.0, lines[1]["rev"])
 	require.Equal(t, 2.0, lines[1]["era"])
 }
+
+// Guards against a log that does not tell why a configuration was ignored.
+func TestOlderConfigurationIsLoggedWithItsReason(t *testing.T) {
+	var out bytes.Buffer
+	n := &Node{log: declog.New(&out, "a"), view: view.New(), platform: versionPlatform{}}
+	for _, c := range []struct {
+		version byte
+		rev     topo.Revision
+	}{{12, 70}, {11, 60}, {10, topo.RevisionOf(1, 50)}, {11, topo.RevisionOf(1, 51)}, {13, topo.RevisionOf(1, 52)}} {
+		require.NoError(t, n.setConfig([]byte{c.version}, int64(c.rev)))
+	}
+	reasons := []any{}
+	for _, line := range logLines(t, n.log, &out, "config_older") {
+		require.Equal(t, 12.0, line["in_force"])
+		reasons = append(reasons, line["reason"])
+	}
+	require.Equal(t, []any{"stale_read", "store_restored", "written_older"}, reasons)
+	require.Len(t, logLines(t, n.log, &out, "config_in_force"), 2)
+}
+
+// versionPlatform is a Platform whose configurations consist of the version.
+type versionPlatform struct{ memPlatform }
+
+func (versionPlatform) DecodeConfig(raw []byte) (routemap.Config, error) {
+	return routemap.Config{Version: int64(raw[0])}, nil
+}
--- a/node/node.go
+++ b/node/node.go
@@ -215,9 +215,10 @@
 }
 
 // setConfig decodes a configuration and puts it in force, unless one of the same
-// or a newer revision already is.
+// or a newer revision or version already is.
 func (n *Node) setConfig(raw []byte, rev int64) error {
-	if _, have := n.view.Config(); rev <= have {
+	_, have := n.view.Config()
+	if rev == have {
 		return nil
 	}
 	cfg, err := n.platform.DecodeConfig(raw)
@@ -230,6 +231,11 @@
 	}
 	if n.view.SetConfig(m, raw, rev) {
 		revision(n.log.Event("config_in_force").Int64("version", m.Version), topo.Revision(rev)).Send()
+		return nil
+	}
+	if routes := n.view.Snapshot().Routes; routes != nil && m.Version < routes.Version {
+		revision(n.log.Event("config_older").Int64("version", m.Version).Int64("in_force", routes.Version), topo.Revision(rev)).
+			Str("reason", olderBecause(topo.Revision(rev), topo.Revision(have))).Send()
 	}
 	return nil
 }
--- a/view/view.go
+++ b/view/view.go
@@ -4,6 +4,7 @@
 package view
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 	"sync"
@@ -134,12 +135,17 @@
 }
 
 // SetConfig puts a configuration in force and reports whether it did. It
-// ignores a configuration whose store revision is not newer than that of the one
-// in force, or whose version is older. Raw is the stored form of m.
+// ignores a configuration whose store revision is not newer than the last one, or
+// whose version is older; a store that came back from an older copy shows such
+// versions. Raw is the stored form of m.
 func (v *View) SetConfig(m *routemap.Map, raw []byte, rev int64) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if rev <= v.configRev || v.routes != nil && m.Version < v.routes.Version {
+	if rev <= v.configRev {
+		return false
+	}
+	if v.routes != nil && (m.Version < v.routes.Version || m.Version == v.routes.Version && bytes.Equal(raw, v.configRaw)) {
+		v.configRev = rev
 		return false
 	}
 	v.routes, v.configRaw, v.configRev = m, raw, rev
@@ -149,8 +155,8 @@
 	return true
 }
 
-// Config returns the stored form of the configuration in force and its revision
-// in the store.
+// Config returns the stored form of the configuration in force, and the revision of
+// the store up to which it is the newest one known.
 func (v *View) Config() ([]byte, int64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/view/view_test.go
+++ b/view/view_test.go
@@ -57,3 +57,24 @@
 	require.True(t, v.SetConfig(&routemap.Map{Version: 1}, nil, 4))
 	requireNewVersion("the configuration changed")
 }
+
+// Guards against a configuration that goes back to an older version because the store
+// did, and against ignoring the versions that are written there again.
+func TestConfigVersionsNeverGoBack(t *testing.T) {
+	v := New()
+	set := func(version int64, rev topo.Revision) bool {
+		return v.SetConfig(&routemap.Map{Version: version}, []byte{byte(version)}, int64(rev))
+	}
+	require.True(t, set(12, 70))
+	require.False(t, set(10, topo.RevisionOf(1, 50)))
+	_, rev := v.Config()
+	require.Equal(t, int64(topo.RevisionOf(1, 50)), rev)
+	require.Equal(t, int64(12), v.Snapshot().Routes.Version)
+	before := v.Snapshot().ServersVersion
+	require.False(t, set(12, topo.RevisionOf(1, 51)), "it is in force")
+	require.Equal(t, before, v.Snapshot().ServersVersion)
+	require.True(t, v.SetConfig(&routemap.Map{Version: 12}, []byte("written anew"), int64(topo.RevisionOf(1, 52))))
+	require.True(t, set(13, topo.RevisionOf(1, 53)))
+	require.False(t, set(14, 90), "a read of the earlier era")
+	require.Equal(t, int64(13), v.Snapshot().Routes.Version)
+}
