node: begin the grace time before the first response after an outage is applied

A server whose entry expired while the store was down lost its requests and keys at the return of the store, although it was alive and its entry back within the two seconds that the platform documents. The grace time began after the first response had been applied; the watch goes on from where it was, so that this response has the removals of the whole outage.

The watcher begins the grace time before it applies a response. It also lists at once after a compacted watch, as the restored store answers it, without the pause that follows failures.

Without the change TestServerThatExpiredInAnOutageIsKept fails at its last check: "Should be true".

--- a/node/watch.go
+++ b/node/watch.go
@@ -52,13 +52,16 @@
 	// time at which that revision was current.
 	advance func(rev topo.Revision, at time.Time)
 	// storeRecovered is called when the store responds again after an outage of
-	// at least minOutage. It may be nil.
+	// at least minOutage, before the response is applied. It may be nil.
 	storeRecovered func(time.Time)
 	// wait is how long a watch waits for changes.
 	wait time.Duration
 	// pauseDuration returns the pause between two watches.
 	pauseDuration func() time.Duration
 
+	// failedSince is when the calls began to fail, or zero. Only Run uses it.
+	failedSince time.Time
+
 	mu           sync.Mutex
 	lastResponse time.Time
 }
@@ -75,7 +78,6 @@
 func (w *watcher) Run(ctx context.Context) error {
 	var rev topo.Revision
 	listed := false
-	var failedSince time.Time
 	failures := 0
 	for ctx.Err() == nil {
 		if !w.needed() {
@@ -92,17 +94,19 @@
 			listed = err == nil
 		}
 		if err == nil {
-			w.recordSuccess(sent, rev, failedSince)
-			failedSince, failures = time.Time{}, 0
+			w.recordSuccess(sent, rev)
+			failures = 0
 			pause(ctx, w.pauseDuration())
 			continue
 		}
 		if failures++; failures == 1 {
-			failedSince = sent
+			w.failedSince = sent
 			w.log.Event("store_lost").Str("watch", w.name).Err(err).Send()
 		}
 		if errors.Is(err, store.ErrCompacted) {
+			// The store has answered, so list at once.
 			listed = false
+			continue
 		}
 		if failures > 1 {
 			pause(ctx, watchRetryDelay+w.pauseDuration())
@@ -111,13 +115,11 @@
 	return ctx.Err()
 }
 
-func (w *watcher) recordSuccess(sent time.Time, rev topo.Revision, failedSince time.Time) {
+func (w *watcher) recordSuccess(sent time.Time, rev topo.Revision) {
 	now := clock.Boot()
-	if !failedSince.IsZero() {
-		w.log.Event("store_regained").Str("watch", w.name).Dur("after_ms", now.Sub(failedSince)).Send()
-		if now.Sub(failedSince) >= minOutage && w.storeRecovered != nil {
-			w.storeRecovered(now)
-		}
+	if !w.failedSince.IsZero() {
+		w.log.Event("store_regained").Str("watch", w.name).Dur("after_ms", now.Sub(w.failedSince)).Send()
+		w.failedSince = time.Time{}
 	}
 	w.advance(rev, sent)
 	w.mu.Lock()
@@ -125,6 +127,13 @@
 	w.lastResponse = now
 }
 
+// noteOutage calls storeRecovered if the store responds again after an outage.
+func (w *watcher) noteOutage(now time.Time) {
+	if !w.failedSince.IsZero() && now.Sub(w.failedSince) >= minOutage && w.storeRecovered != nil {
+		w.storeRecovered(now)
+	}
+}
+
 func (w *watcher) list(ctx context.Context) (topo.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
@@ -132,7 +141,9 @@
 	if err != nil {
 		return 0, err
 	}
-	w.applyListing(l, clock.Boot())
+	now := clock.Boot()
+	w.noteOutage(now)
+	w.applyListing(l, now)
 	return l.Revision, nil
 }
 
@@ -142,6 +153,7 @@
 		return rev, err
 	}
 	now := clock.Boot()
+	w.noteOutage(now)
 	for _, e := range c.Events {
 		w.applyEvent(e, now)
 	}
--- /dev/null
+++ b/node/watch_test.go
@@ -0,0 +1,99 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitlock.example/godwitlock/declog"
+	"godwitlock.example/godwitlock/directory"
+	"godwitlock.example/godwitlock/store"
+	"godwitlock.example/godwitlock/store/memstore"
+	"godwitlock.example/godwitlock/topo"
+	"godwitlock.example/godwitlock/view"
+)
+
+// serverPlatform is a Platform whose servers' entries are empty.
+type serverPlatform struct{ memPlatform }
+
+func (serverPlatform) Prefixes() Prefixes {
+	return Prefixes{Config: "c/", Servers: "s/", Evacuations: "e/"}
+}
+
+func (serverPlatform) DecodeServer(o store.Object, _ time.Time) (directory.Server, error) {
+	return directory.Server{ID: topo.ServerID(o.Key), State: directory.Ready, StartedAtMs: 1, Rev: int64(o.Revision)}, nil
+}
+
+// serversWatcher returns the watcher of the servers of a node that needs the store,
+// and that store.
+func serversWatcher(t *testing.T) (*watcher, *Node, *memstore.Store) {
+	st := memstore.New()
+	n := &Node{view: view.New(), log: declog.New(io.Discard, "a"), platform: serverPlatform{memPlatform{st}}}
+	for _, w := range n.newWatchers() {
+		if w.name == "servers" {
+			w.needed, w.wait = func() bool { return true }, time.Millisecond
+			w.pauseDuration = func() time.Duration { return 0 }
+			return w, n, st
+		}
+	}
+	t.Fatal("there is no watcher of the servers")
+	return nil, nil, nil
+}
+
+// Guards against dropping servers whose entries expired in an outage of the store, if
+// the first response after it already tells so.
+func TestServerThatExpiredInAnOutageIsKept(t *testing.T) {
+	w, n, st := serversWatcher(t)
+	var out bytes.Buffer
+	w.log = declog.New(&out, "a")
+	ctx, cancel := context.WithCancel(context.Background())
+	other := st.Attach()
+	o, err := other.Put(ctx, "s/a", nil, store.MustNotExist, "w")
+	require.NoError(t, err)
+	done := make(chan error)
+	go func() { done <- w.Run(ctx) }()
+	usable := func() bool { return n.view.Snapshot().Usable("s/a") != nil }
+	logged := func(event string) func() bool {
+		return func() bool { return len(logLines(t, w.log, &out, event)) > 0 }
+	}
+	require.Eventually(t, usable, time.Minute, time.Millisecond)
+	st.SetFaults(memstore.Faults{Down: true})
+	require.Eventually(t, logged("store_lost"), time.Minute, time.Millisecond)
+	time.Sleep(minOutage)
+	require.NoError(t, other.Delete(ctx, "s/a", o.Version, "expiry"))
+	st.SetFaults(memstore.Faults{})
+	require.Eventually(t, logged("store_regained"), time.Minute, time.Millisecond)
+	require.True(t, usable())
+	cancel()
+	require.ErrorIs(t, <-done, context.Canceled)
+}
+
+// Guards against a watch that goes on from a revision of before, or waits, when the
+// store has come back from an older copy.
+func TestWatcherListsAgainAfterARestore(t *testing.T) {
+	w, n, st := serversWatcher(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	_, err := st.Put(ctx, "s/a", nil, store.MustNotExist, "w")
+	require.NoError(t, err)
+	earlier := st.Copy()
+	_, err = st.Put(ctx, "s/b", nil, store.MustNotExist, "w")
+	require.NoError(t, err)
+	done := make(chan error)
+	w.wait = time.Hour
+	go func() { done <- w.Run(ctx) }()
+	await := func(id topo.ServerID) {
+		require.Eventually(t, func() bool { return n.view.Snapshot().Usable(id) != nil }, time.Minute, time.Millisecond)
+	}
+	await("s/b")
+	st.Restore(earlier)
+	_, err = st.Put(ctx, "s/c", nil, store.MustNotExist, "w")
+	require.NoError(t, err)
+	await("s/c")
+	require.NotNil(t, n.view.Snapshot().Usable("s/a"))
+	cancel()
+	require.ErrorIs(t, <-done, context.Canceled)
+}
