node: end the grace time of servers on VMs that do not lead

A VM that read the store itself because the leader was stale kept a server whose entry had expired in an outage for as long as it did so, beyond the grace time after which the platform says that the server is gone, and told other VMs of it as a relay. Only the leader's assigner dropped such servers.

The watcher of the servers drops them after each response.

Without the change TestLapsedServerIsDroppedByTheWatcher: Expected nil, but got: &directory.Server{ID:"s/a", ...}

--- a/node/watch.go
+++ b/node/watch.go
@@ -190,7 +190,10 @@
 	servers := &watcher{
 		name: "servers", prefix: prefixes.Servers, applyListing: n.replaceServers, applyEvent: n.changeServer,
 		advance: func(rev topo.Revision, _ time.Time) {
-			n.view.Directory(func(d *directory.Directory) { d.AdvanceRev(int64(rev)) })
+			n.view.Directory(func(d *directory.Directory) {
+				d.AdvanceRev(int64(rev))
+				d.Expire(clock.Boot())
+			})
 		},
 		storeRecovered: func(now time.Time) {
 			n.view.Directory(func(d *directory.Directory) { d.StoreRecovered(now) })
--- a/node/watch_test.go
+++ b/node/watch_test.go
@@ -72,6 +72,20 @@
 	require.ErrorIs(t, <-done, context.Canceled)
 }
 
+// Guards against a server that is kept for good on a VM which does not lead.
+func TestLapsedServerIsDroppedByTheWatcher(t *testing.T) {
+	w, n, _ := serversWatcher(t)
+	n.view.Directory(func(d *directory.Directory) {
+		d.Put(directory.Server{ID: "s/a", State: directory.Ready, Rev: 1})
+		past := bootNow().Add(-directory.StoreRecoveryGrace - time.Second)
+		d.StoreRecovered(past)
+		d.Remove("s/a", 2, past)
+	})
+	require.NotNil(t, n.view.Snapshot().Usable("s/a"))
+	w.recordSuccess(bootNow(), 3)
+	require.Nil(t, n.view.Snapshot().Usable("s/a"))
+}
+
 // Guards against a watch that goes on from a revision of before, or waits, when the
 // store has come back from an older copy.
 func TestWatcherListsAgainAfterARestore(t *testing.T) {
