directory: judge entries of a restored store by the servers' own count

When the store came back from an older copy, a server that had reported that it leaves was ready again, one that was gone was back, and one that had registered since the copy was dropped with its requests and keys until it wrote its entry again. With the era packed in the revisions, the older entries even have the higher revision, on all VMs.

A listing of a new era begins the grace time, however short the outage was, so that servers which are missing from it are kept. Entries carry the server's own count of its writes (seq), also between VMs. An entry of a later era counts as older if it is of the same incarnation (born) and its count is not above that of the entry known. Leaving is final for an incarnation across eras. An entry of a server that was removed is set aside for the grace time, and counts after it if the store still has it: a live server's entry need not change. Within an era the revisions decide as before. The hub sends such an entry although its revision is older than the VM's, by the directory's version of the entry.

Open: a leader that started after the restore knows no entry of before. It uses a server that leaves until that one is written again, and the VMs that follow it drop servers that are missing from the copy for as long.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -36,8 +36,12 @@
 	// ColdFor is the remaining warm-up time of the server at SeenAt.
 	ColdFor time.Duration
 	SeenAt  time.Time
+	// Seq counts the writes of the entry by the server itself, within an incarnation.
+	Seq int64
 	// Rev is the store's revision of the entry.
 	Rev int64
+	// version is the directory's version with the entry.
+	version uint64
 }
 
 // Incarnation returns which life of the server the registration describes.
@@ -59,12 +63,16 @@
 // for concurrent use.
 type Directory struct {
 	servers map[topo.ServerID]*Server
-	// removedRevs holds the revision of each removed entry, so that an older
-	// update does not restore it.
-	removedRevs map[topo.ServerID]int64
+	// removed holds what is known of each removed entry, so that an older update
+	// does not restore it.
+	removed map[topo.ServerID]removedEntry
 	// lapsed holds the servers whose entry was removed within the grace time,
 	// with the time at which they are dropped unless the entry returns.
-	lapsed       map[topo.ServerID]time.Time
+	lapsed map[topo.ServerID]time.Time
+	// doubtful holds entries of servers that were removed, which the store shows again
+	// because it came back from an older copy. They count from the end of the grace
+	// time on, if the store still has them.
+	doubtful     map[topo.ServerID]Server
 	rev          int64
 	evacuated    map[topo.DataCentreName]bool
 	evacuatedRev int64
@@ -80,6 +88,15 @@
 	leaving map[topo.ServerID]leavingMark
 }
 
+// removedEntry is what is known of a removed entry.
+type removedEntry struct {
+	// rev is the revision of the removal, as far as the store told of it.
+	rev int64
+	// last identifies the last entry before the removal, as of the revision at which
+	// it was known to be gone.
+	last entryState
+}
+
 // leavingMark records the start of the incarnation that leaves, and the version of
 // the directory with which this became known.
 type leavingMark struct {
@@ -104,11 +121,12 @@
 // New returns a Directory without servers, with all data centres in service.
 func New() *Directory {
 	return &Directory{
-		servers:     make(map[topo.ServerID]*Server),
-		removedRevs: make(map[topo.ServerID]int64),
-		lapsed:      make(map[topo.ServerID]time.Time),
-		evacuated:   make(map[topo.DataCentreName]bool),
-		leaving:     make(map[topo.ServerID]leavingMark),
+		servers:   make(map[topo.ServerID]*Server),
+		removed:   make(map[topo.ServerID]removedEntry),
+		lapsed:    make(map[topo.ServerID]time.Time),
+		doubtful:  make(map[topo.ServerID]Server),
+		evacuated: make(map[topo.DataCentreName]bool),
+		leaving:   make(map[topo.ServerID]leavingMark),
 	}
 }
 
@@ -129,24 +147,54 @@
 func (d *Directory) StoreRecovered(now time.Time) { d.graceUntil = now.Add(StoreRecoveryGrace) }
 
 // Put adds or replaces the entry of a server, unless the directory has the same
-// or a newer revision of it or its removal.
+// or a newer revision of it or its removal. After the store came back from an older
+// copy, an entry with a higher revision may still be older (see entryState).
 func (d *Directory) Put(s Server) {
-	if old := d.servers[s.ID]; old != nil && old.Rev >= s.Rev && d.lapsed[s.ID].IsZero() {
+	old, removed := d.servers[s.ID], d.removed[s.ID]
+	if old != nil && old.Rev >= s.Rev && d.lapsed[s.ID].IsZero() {
+		return
+	}
+	if s.Rev <= removed.rev {
 		return
 	}
-	if s.Rev <= d.removedRevs[s.ID] {
+	if old != nil && old.entryState(old.Rev).supersedes(&s) {
+		delete(d.lapsed, s.ID)
 		return
 	}
+	if old == nil && removed.last.supersedes(&s) {
+		if removed.last.leaving {
+			return
+		}
+		if s.SeenAt.Before(d.graceUntil) {
+			d.doubtful[s.ID] = s
+			return
+		}
+	}
+	d.putNow(s)
+}
+
+// putNow adds or replaces an entry.
+func (d *Directory) putNow(s Server) {
 	delete(d.lapsed, s.ID)
-	d.servers[s.ID] = &s
+	delete(d.doubtful, s.ID)
 	d.version++
+	s.version = d.version
+	d.servers[s.ID] = &s
 }
 
+// ChangedSince reports whether the entry of a server of this directory changed after
+// the given version of the directory.
+func (d *Directory) ChangedSince(s *Server, version uint64) bool { return s.version > version }
+
 // Remove records that the entry of a server was removed at revision rev. Within
 // the grace time after an outage the server stays until Expire drops it.
 func (d *Directory) Remove(id topo.ServerID, rev int64, now time.Time) {
-	if rev > d.removedRevs[id] {
-		d.removedRevs[id] = rev
+	if r := d.removed[id]; rev > r.rev {
+		r.rev = rev
+		d.removed[id] = r
+	}
+	if s, ok := d.doubtful[id]; ok && s.Rev <= rev {
+		delete(d.doubtful, id)
 	}
 	s := d.servers[id]
 	if s == nil || s.Rev > rev {
@@ -158,11 +206,17 @@
 		}
 		return
 	}
-	d.removeNow(id)
+	d.removeNow(id, rev)
 }
 
-// removeNow removes a server without a grace time and records the removal.
-func (d *Directory) removeNow(id topo.ServerID) {
+// removeNow removes a server without a grace time, and records that its entry is
+// gone at revision rev.
+func (d *Directory) removeNow(id topo.ServerID, rev int64) {
+	if s := d.servers[id]; s != nil {
+		r := d.removed[id]
+		r.last = s.entryState(rev)
+		d.removed[id] = r
+	}
 	delete(d.servers, id)
 	delete(d.lapsed, id)
 	d.version++
@@ -194,6 +248,7 @@
 	if rev < d.rev {
 		return
 	}
+	d.BeginEra(rev, now)
 	listed := make(map[topo.ServerID]bool, len(list))
 	for _, s := range list {
 		listed[s.ID] = true
@@ -210,14 +265,20 @@
 // AdvanceRev records that all changes of servers up to rev are known.
 func (d *Directory) AdvanceRev(rev int64) { d.rev = max(d.rev, rev) }
 
-// Expire removes the lapsed servers whose entry did not return within the grace
-// time.
+// Expire ends the grace time, if it is over at now: it removes the lapsed servers
+// whose entry did not return, and adds the doubtful ones.
 func (d *Directory) Expire(now time.Time) {
 	for id, until := range d.lapsed {
 		if !now.Before(until) {
-			d.removeNow(id)
+			d.removeNow(id, d.removed[id].rev)
 		}
 	}
+	if now.Before(d.graceUntil) {
+		return
+	}
+	for _, s := range d.doubtful {
+		d.putNow(s)
+	}
 }
 
 // SetEvacuated replaces the data centres out of service by those at revision
@@ -277,7 +338,7 @@
 func (d *Directory) RetainOnly(ids map[topo.ServerID]bool, rev int64) {
 	for id, s := range d.servers {
 		if !ids[id] && s.Rev <= rev {
-			d.removeNow(id)
+			d.removeNow(id, rev)
 		}
 	}
 	d.AdvanceRev(rev)
@@ -289,7 +350,7 @@
 func (d *Directory) ApplyRemovals(ids []topo.ServerID, rev int64) {
 	for _, id := range ids {
 		if s := d.servers[id]; s != nil && s.Rev <= rev {
-			d.removeNow(id)
+			d.removeNow(id, rev)
 		}
 	}
 	d.AdvanceRev(rev)
--- /dev/null
+++ b/directory/era.go
@@ -0,0 +1,41 @@
+package directory
+
+import (
+	"time"
+
+	"godwitlock.example/godwitlock/topo"
+)
+
+// entryState orders the entries of an incarnation of a server across the eras of the
+// store. Within an era the revision does. In a later era, a higher revision may belong
+// to an entry of the older copy from which the store came back, or to one that the
+// server has written since; the server's own count tells them apart.
+type entryState struct {
+	era              topo.Era
+	startedAtMs, seq int64
+	leaving          bool
+}
+
+// entryState returns the state of the entry, which was known at revision rev.
+func (s *Server) entryState(rev int64) entryState {
+	return entryState{era: topo.Revision(rev).Era(), startedAtMs: s.StartedAtMs, seq: s.Seq, leaving: s.State == Leaving}
+}
+
+// supersedes reports whether an entry that was read in a later era is none the less not
+// newer than e: the server has not written it since, or it leaves, which is final for
+// an incarnation.
+func (e entryState) supersedes(s *Server) bool {
+	if topo.Revision(s.Rev).Era() <= e.era || s.StartedAtMs == 0 || s.StartedAtMs != e.startedAtMs {
+		return false
+	}
+	return s.Seq <= e.seq || e.leaving && s.State != Leaving
+}
+
+// BeginEra starts the grace time if rev is of a later era of the store than the
+// revision up to which the servers are known: servers whose entries the store has
+// lost write them again.
+func (d *Directory) BeginEra(rev int64, now time.Time) {
+	if d.rev > 0 && topo.Revision(rev).Era() > topo.Revision(d.rev).Era() {
+		d.StoreRecovered(now)
+	}
+}
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -185,12 +185,13 @@
 }
 
 func applyDirectory(d *directory.Directory, resp *fleetpb.FollowResponse, now time.Time) {
+	d.BeginEra(resp.GetServersRev(), now)
 	for _, s := range resp.GetServers() {
 		d.Put(directory.Server{
 			ID: topo.ServerID(s.GetId()), Service: topo.ServiceName(s.GetService()), Addr: s.GetAddr(),
 			DataCentre: topo.DataCentreName(s.GetDataCentre()), Slots: int(s.GetSlots()),
 			State: directory.State(s.GetState()), StartedAtMs: s.GetBorn(),
-			ColdFor: millis(s.GetColdMs()), SeenAt: now, Rev: s.GetRev(),
+			ColdFor: millis(s.GetColdMs()), SeenAt: now, Seq: s.GetSeq(), Rev: s.GetRev(),
 		})
 	}
 	if resp.GetComplete() {
--- a/fleet/hub.go
+++ b/fleet/hub.go
@@ -227,7 +227,7 @@
 		if out.Complete {
 			out.Ids = append(out.Ids, string(s.ID))
 		}
-		if s.Rev > req.GetServersRev() {
+		if s.Rev > req.GetServersRev() || !out.Complete && d.ChangedSince(s, req.GetDirectoryVersion()) {
 			out.Servers = append(out.Servers, encodeServer(s, now))
 		}
 	})
@@ -239,7 +239,7 @@
 func encodeServer(s *directory.Server, now time.Time) *fleetpb.Server {
 	m := &fleetpb.Server{
 		Id: string(s.ID), Service: string(s.Service), Addr: s.Addr, DataCentre: string(s.DataCentre),
-		Slots: int32(s.Slots), State: int32(s.State), Born: s.StartedAtMs, Rev: s.Rev,
+		Slots: int32(s.Slots), State: int32(s.State), Born: s.StartedAtMs, Seq: s.Seq, Rev: s.Rev,
 	}
 	if s.Cold(now) {
 		m.ColdMs = s.SeenAt.Add(s.ColdFor).Sub(now).Milliseconds()
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -128,9 +128,12 @@
 			return err
 		}
 	}
-	if resp.GetServersRev() > 0 {
-		now := clock.Boot()
-		f.view.Directory(func(d *directory.Directory) { applyDirectory(d, resp, now) })
-	}
+	now := clock.Boot()
+	f.view.Directory(func(d *directory.Directory) {
+		if resp.GetServersRev() > 0 {
+			applyDirectory(d, resp, now)
+		}
+		d.Expire(now)
+	})
 	return nil
 }
