--- a/leader/era_test.go
+++ b/leader/era_test.go
@@ -115,29 +115,35 @@
 
 func TestHolderTakesTheLeaseBackIfItLapsesWhileTheStoreReturns(t *testing.T) {
 	for name, seen := range map[string]time.Duration{"seen in time": TTL / 2, "seen when it has lapsed": TTL - 1, "seen after the end": TTL} {
-		t.Run(name, func(t *testing.T) {
-			s := &erasStore{}
-			l := New(identity("a"), Candidacy{})
-			observe(l, s, start)
-			write(t, l, s, start)
-			s.restore(0)
-			l.SetEra(start.Add(seen), 1)
-			require.Equal(t, Read, l.Next(start.Add(seen)).Action, "the lease is read at once")
-			now := start.Add(TTL + 100*time.Millisecond)
-			_, holds := l.Holds(now)
-			require.False(t, holds)
-			observe(l, s, now)
-			if seen == TTL {
-				require.NotEqual(t, Write, l.Next(now).Action, "another process may have led in the lost time")
-				return
-			}
-			require.Equal(t, topo.Term(1), write(t, l, s, now).Term)
-			_, holds = l.Holds(now)
-			require.True(t, holds)
-		})
+		t.Run(name, func(t *testing.T) { checkLapseWhileTheStoreReturns(t, seen, false) })
+		t.Run(name+", after a rejected write", func(t *testing.T) { checkLapseWhileTheStoreReturns(t, seen, true) })
 	}
 }
 
+func checkLapseWhileTheStoreReturns(t *testing.T, seen time.Duration, rejected bool) {
+	s := &erasStore{}
+	l := New(identity("a"), Candidacy{})
+	observe(l, s, start)
+	write(t, l, s, start)
+	s.restore(0)
+	if rejected {
+		l.Failed(start.Add(seen), true)
+	}
+	l.SetEra(start.Add(seen), 1)
+	require.Equal(t, Read, l.Next(start.Add(seen)).Action, "the lease is read at once")
+	now := start.Add(TTL + 100*time.Millisecond)
+	_, holds := l.Holds(now)
+	require.False(t, holds)
+	observe(l, s, now)
+	if seen == TTL {
+		require.NotEqual(t, Write, l.Next(now).Action, "another process may have led in the lost time")
+		return
+	}
+	require.Equal(t, topo.Term(1), write(t, l, s, now).Term)
+	_, holds = l.Holds(now)
+	require.True(t, holds)
+}
+
 func TestLapsedHolderDoesNotTakeARestoredRecordForItsRenewal(t *testing.T) {
 	s := &erasStore{}
 	l := New(identity("a"), Candidacy{})
--- a/leader/lease.go
+++ b/leader/lease.go
@@ -121,9 +121,9 @@
 	lastWriteSent, firstUnconfirmedSent time.Time
 	nextActionAt                        time.Time
 	urgent                              bool
-	// resumeEra is the newest era of the store that began while this process held the
-	// lease.
-	resumeEra topo.Era
+	// knownEra is the newest era that the store has shown. resumeEra is the newest that it
+	// showed before the lease of this process had ended.
+	knownEra, resumeEra topo.Era
 	// conflict is set from a rejected write until the next read.
 	conflict  bool
 	resigning bool
@@ -176,13 +176,16 @@
 // lease is read at once. A process whose lease has not ended by then is the last holder
 // of before, and takes the lease back as long as no other process has acquired it since.
 func (l *Lease) SetEra(now time.Time, era topo.Era) {
-	if !l.observed || era <= l.current.era() {
+	if era <= max(l.knownEra, l.current.era()) {
 		return
 	}
+	l.knownEra = era
 	if now.Before(l.heldUntil) {
 		l.resumeEra = era
 	}
-	l.observed, l.conflict, l.nextActionAt = false, true, now
+	if !l.lastObserved.IsZero() {
+		l.observed, l.conflict, l.nextActionAt = false, true, now
+	}
 }
 
 // resumes reports whether this process may take the lease back under its last term.
