node: log and metrics tell whose connections are open and when accepting fails

Callers saw: a VM that said ready and accepted no connection. The log named EMFILE once, in a line of the supervisor, and the metrics counted callers' connections only, so the record does not say what held the descriptors.

Change: package accept wraps a listener and reports when Accept begins to fail and when it works again; node logs both (accept_fails, accept_works) with the numbers of open connections by the other end, writes the numbers every 10 s (connections), and has gauges for them and for open descriptors. Accept still returns every error; no behaviour changes.

--- a/egress/egress.go
+++ b/egress/egress.go
@@ -176,6 +176,20 @@
 	}
 }
 
+// Connections returns the number of connections that are open or being opened, and
+// how many of them are idle.
+func (c *Client) Connections() (open, idle int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, n := range c.open {
+		open += n
+	}
+	for _, list := range c.idle {
+		idle += len(list)
+	}
+	return open, idle
+}
+
 // Do sends req to target once, without retries. The error is a *Failure.
 func (c *Client) Do(ctx context.Context, target Target, req *Request) (*Response, error) {
 	cn, err := c.acquire(ctx, target, req.ID)
--- /dev/null
+++ b/node/connections.go
@@ -0,0 +1,143 @@
+package node
+
+import (
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"godwitlock.example/godwitlock/accept"
+	"godwitlock.example/godwitlock/clock"
+)
+
+// connLogInterval is the interval between two log lines with the numbers of open
+// connections.
+const connLogInterval = 10 * time.Second
+
+// openFilesDir has an entry for each open file descriptor of the process.
+const openFilesDir = "/proc/self/fd"
+
+// countingListener counts the connections that it accepted and that are open.
+type countingListener struct {
+	net.Listener
+	open atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l *countingListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.open.Add(1)
+	return &countedConn{Conn: nc, closed: sync.OnceFunc(func() { l.open.Add(-1) })}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	closed func()
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.closed()
+	return c.Conn.Close()
+}
+
+// connCounts are the numbers of open connections by the other end.
+type connCounts struct {
+	// callers are callers' connections. serversBusy carry a request to a server
+	// or are being opened; serversIdle wait for one.
+	callers, serversBusy, serversIdle int
+	// fromVMs were opened by other VMs, toVMs by this one.
+	fromVMs, toVMs int
+	// probes are connections to the ready and metrics addresses.
+	probes int
+}
+
+func (n *Node) connCounts() connCounts {
+	open, idle := n.egress.Connections()
+	c := connCounts{callers: n.ingress.OpenConnections(), serversBusy: open - idle, serversIdle: idle, toVMs: int(n.peers.Traffic.Connections.Load())}
+	c.fromVMs = acceptedOpen(n.peerLis)
+	c.probes = acceptedOpen(n.readyLis) + acceptedOpen(n.metricsLis)
+	return c
+}
+
+func acceptedOpen(lis net.Listener) int {
+	if l, ok := lis.(*countingListener); ok {
+		return int(l.open.Load())
+	}
+	return 0
+}
+
+// openFiles returns the number of open file descriptors of the process, -1 if it
+// cannot be read, for example since none is free.
+func openFiles() int {
+	entries, err := os.ReadDir(openFilesDir)
+	if err != nil {
+		return -1
+	}
+	return len(entries)
+}
+
+func (n *Node) registerConnGauges() {
+	for name, read := range map[string]func(connCounts) int{
+		"caller_connections":      func(c connCounts) int { return c.callers },
+		"server_connections_busy": func(c connCounts) int { return c.serversBusy },
+		"server_connections_idle": func(c connCounts) int { return c.serversIdle },
+		"vm_connections_accepted": func(c connCounts) int { return c.fromVMs },
+		"vm_connections_opened":   func(c connCounts) int { return c.toVMs },
+		"probe_connections":       func(c connCounts) int { return c.probes },
+	} {
+		n.metrics.Gauge(name, func() float64 { return float64(read(n.connCounts())) })
+	}
+	n.metrics.Gauge("open_files", func() float64 { return float64(openFiles()) })
+}
+
+// wrapListeners makes the listeners report when accepting fails, and count
+// connections where nothing else does.
+func (n *Node) wrapListeners() {
+	n.callerLis = accept.New(n.callerLis, n.acceptReport("callers"))
+	n.peerLis = &countingListener{Listener: accept.New(n.peerLis, n.acceptReport("peers"))}
+	n.readyLis = &countingListener{Listener: accept.New(n.readyLis, n.acceptReport("ready"))}
+	n.metricsLis = &countingListener{Listener: accept.New(n.metricsLis, n.acceptReport("metrics"))}
+}
+
+// acceptReport returns a function that logs the changes of a listener.
+func (n *Node) acceptReport(listener string) func(accept.Change) {
+	return func(c accept.Change) {
+		if c.Err == nil {
+			n.log.Event("accept_works").Str("listener", listener).Int("failures", c.Failures).Dur("after_ms", c.After).Send()
+			return
+		}
+		n.metrics.Count("accept_failures", "listener", listener)
+		n.logConnections("accept_fails", func(e *zerolog.Event) { e.Str("listener", listener).Err(c.Err) })
+	}
+}
+
+// logConnections logs the numbers of open connections and the fields that add adds.
+func (n *Node) logConnections(event string, add func(*zerolog.Event)) {
+	e := n.log.Event(event)
+	if e == nil {
+		return
+	}
+	c := n.connCounts()
+	add(e.Int("callers", c.callers).Int("servers_busy", c.serversBusy).Int("servers_idle", c.serversIdle).
+		Int("from_vms", c.fromVMs).Int("to_vms", c.toVMs).Int("probes", c.probes).
+		Int("open_files", openFiles()).Int("max_files", n.settings.MaxFiles))
+	e.Send()
+}
+
+// connLog logs the numbers of open connections from time to time. Only one goroutine
+// may use it.
+type connLog struct{ last time.Time }
+
+func (l *connLog) tick(n *Node) {
+	if now := clock.Boot(); now.Sub(l.last) >= connLogInterval {
+		l.last = now
+		n.logConnections("connections", func(*zerolog.Event) {})
+	}
+}
--- /dev/null
+++ b/node/connections_test.go
@@ -0,0 +1,95 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitlock.example/godwitlock/egress"
+	"godwitlock.example/godwitlock/ingress"
+	"godwitlock.example/godwitlock/topo"
+)
+
+// failNTimes fails the given number of calls of Accept.
+type failNTimes struct {
+	net.Listener
+	left int
+}
+
+func (l *failNTimes) Accept() (net.Conn, error) {
+	if l.left--; l.left >= 0 {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against descriptors that run out without a sign of whose connections hold
+// them.
+func TestLogAndMetricsTellWhoseConnectionsAreOpen(t *testing.T) {
+	n, out := stoppableNode(t, func(context.Context, *ingress.Request) *ingress.Response {
+		return &ingress.Response{Status: 200}
+	})
+	n.settings.MaxFiles = 4100
+	n.egress = egress.New(egress.Headers{
+		RequestID: "Request-Id", DeadlineMS: "Deadline-Ms", Customer: "Customer", ExpectServer: "Expect-Server", NotRun: "Not-Run", Seal: "Seal",
+	})
+	peers, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	n.peerLis = &failNTimes{peers, 1}
+	defer func() { _ = n.callerLis.Close() }()
+	require.Eventually(t, n.ingress.Accepting, 5*time.Second, time.Millisecond)
+	n.wrapListeners()
+	n.registerConnGauges()
+
+	addr, received := silentServer(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		_, _ = n.egress.Do(ctx, egress.Target{Incarnation: topo.Incarnation{Server: "s"}, Addr: addr}, &egress.Request{
+			Method: "GET", URI: "/", Host: "h", Deadline: time.Now().Add(time.Minute),
+		})
+	}()
+	<-received
+	for _, to := range []string{n.callerLis.Addr().String(), peers.Addr().String()} {
+		nc, err := net.Dial("tcp", to)
+		require.NoError(t, err)
+		defer func() { _ = nc.Close() }()
+	}
+	require.Eventually(t, func() bool { return n.ingress.OpenConnections() == 1 }, 5*time.Second, time.Millisecond)
+	_, err = n.peerLis.Accept()
+	if err != nil {
+		_, err = n.peerLis.Accept()
+	}
+	require.NoError(t, err)
+
+	var metrics bytes.Buffer
+	n.metrics.Write(&metrics)
+	for _, line := range []string{
+		"godwitlock_caller_connections 1", "godwitlock_server_connections_busy 1", "godwitlock_server_connections_idle 0",
+		"godwitlock_vm_connections_accepted 1", "godwitlock_vm_connections_opened 0", "godwitlock_probe_connections 0",
+		`godwitlock_accept_failures_total{listener="peers"} 1`,
+	} {
+		require.Contains(t, strings.Split(metrics.String(), "\n"), line)
+	}
+	fails := logLines(t, n.log, out, "accept_fails")
+	require.Len(t, fails, 1)
+	require.Equal(t, "peers", fails[0]["listener"])
+	require.Contains(t, fails[0]["error"], "too many open files")
+	require.Equal(t, []any{1.0, 1.0, 0.0, 0.0, 4100.0}, []any{
+		fails[0]["callers"], fails[0]["servers_busy"], fails[0]["servers_idle"], fails[0]["from_vms"], fails[0]["max_files"],
+	})
+	require.Greater(t, fails[0]["open_files"], 5.0)
+	works := logLines(t, n.log, out, "accept_works")
+	require.Len(t, works, 1)
+	require.Equal(t, 1.0, works[0]["failures"])
+
+	(&connLog{}).tick(n)
+	require.Equal(t, 1.0, logLines(t, n.log, out, "connections")[0]["from_vms"])
+}
--- a/node/node.go
+++ b/node/node.go
@@ -119,6 +119,7 @@
 			return nil, errors.Annotatef(err, "listening on %s", l.addr)
 		}
 	}
+	n.wrapListeners()
 	n.assemble()
 	return n, nil
 }
@@ -168,7 +169,7 @@
 
 func (n *Node) registerGauges() {
 	n.metrics.Gauge("config_age_seconds", func() float64 { return clock.Boot().Sub(n.view.Confirmed()).Seconds() })
-	n.metrics.Gauge("caller_connections", func() float64 { return float64(n.ingress.OpenConnections()) })
+	n.registerConnGauges()
 	n.metrics.Gauge("home_waiting", func() float64 { w, _ := n.broker.Depth(); return float64(w) })
 	n.metrics.Gauge("home_running", func() float64 { _, r := n.broker.Depth(); return float64(r) })
 }
@@ -326,9 +327,11 @@
 }
 
 func (n *Node) runSweep(ctx context.Context) error {
+	var conns connLog
 	for ctx.Err() == nil {
 		pause(ctx, sweepInterval)
 		n.egress.Sweep()
+		conns.tick(n)
 		n.storeCalls.logCounts(n.log)
 	}
 	return ctx.Err()
--- a/peer/traffic.go
+++ b/peer/traffic.go
@@ -16,6 +16,8 @@
 	Control, Forward atomic.Uint64
 	// ControlCalls is the number of calls whose bytes Control counts.
 	ControlCalls atomic.Uint64
+	// Connections is the number of open connections.
+	Connections atomic.Int64
 }
 
 // counterKey is the context key of the counter for a call's bytes.
@@ -52,4 +54,11 @@
 func (t *Traffic) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
 
 // HandleConn implements stats.Handler.
-func (t *Traffic) HandleConn(context.Context, stats.ConnStats) {}
+func (t *Traffic) HandleConn(_ context.Context, s stats.ConnStats) {
+	switch s.(type) {
+	case *stats.ConnBegin:
+		t.Connections.Add(1)
+	case *stats.ConnEnd:
+		t.Connections.Add(-1)
+	}
+}
