ingress, accept: errors of Accept that pass do not end the accept loop

Cause: ingress.Serve returned every error of Accept and left the rest to the supervisor. The servers of net/http and grpc-go retry only what net.Error.Temporary reports (EMFILE, ENFILE, ECONNABORTED; read in their sources); on ENOBUFS and ENOMEM they end and close their listener, so that a restart could not help.

Change: Accept of accept.Listener returns only net.ErrClosed and a passed deadline.

Why it works: a passed deadline and a closed listener are looked at before accept4, so a stop ends the loop within one pause (TestStopAcceptingWhileAcceptFails). Accepting counts as working once Accept has waited for 100 ms, since Linux reports a lack of descriptors before it looks at the queue; otherwise a VM out of rotation, to which nobody connects, would stay out (TestAcceptCountsAsWorkingWhileItWaits).

--- a/accept/accept.go
+++ b/accept/accept.go
@@ -1,5 +1,8 @@
-// Package accept reports when a listener fails to accept connections and when it
-// works again.
+// Package accept keeps accepting connections after errors that pass, such as too
+// many open files, and reports when accepting fails and when it works again.
+//
+// The accept loops of net/http and grpc end on some of these errors, for example
+// ENOBUFS, and close the listener.
 package accept
 
 import (
@@ -11,6 +14,16 @@
 	"github.com/juju/errors"
 )
 
+const (
+	// minRetryPause and maxRetryPause bound the pause after an error. It doubles
+	// with each error until a connection is accepted.
+	minRetryPause, maxRetryPause = 5 * time.Millisecond, 250 * time.Millisecond
+	// settleTime is how long Accept must wait for a connection after an error until
+	// accepting counts as working: the system reports a lack of resources at once,
+	// even if no connection has arrived.
+	settleTime = 100 * time.Millisecond
+)
+
 // Change reports that accepting connections fails, or works again.
 type Change struct {
 	// Err is the first error, nil if accepting works again.
@@ -21,11 +34,13 @@
 	After    time.Duration
 }
 
-// Listener is a net.Listener that knows whether accepting fails. It is safe for
-// concurrent use.
+// Listener is a net.Listener whose Accept returns an error only if the listener is
+// closed or its deadline has passed. It is safe for concurrent use.
 type Listener struct {
 	net.Listener
 	report func(Change)
+	closed chan struct{}
+	once   sync.Once
 
 	mu       sync.Mutex
 	failures int
@@ -38,21 +53,56 @@
 	if report == nil {
 		report = func(Change) {}
 	}
-	return &Listener{Listener: lis, report: report}
+	return &Listener{Listener: lis, report: report, closed: make(chan struct{})}
+}
+
+// Of returns lis if it is a *Listener, and otherwise one that accepts from lis.
+func Of(lis net.Listener) *Listener {
+	if l, ok := lis.(*Listener); ok {
+		return l
+	}
+	return New(lis, nil)
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. After an error that passes it waits and tries
+// again.
 func (l *Listener) Accept() (net.Conn, error) {
+	for wait := minRetryPause; ; wait = min(2*wait, maxRetryPause) {
+		nc, err := l.acceptOnce()
+		if err == nil || final(err) {
+			return nc, err
+		}
+		l.fails(err)
+		l.pause(wait)
+	}
+}
+
+func (l *Listener) acceptOnce() (net.Conn, error) {
+	if l.FailingFor() > 0 {
+		defer time.AfterFunc(settleTime, l.works).Stop()
+	}
 	nc, err := l.Listener.Accept()
-	switch {
-	case err == nil:
+	if err == nil {
 		l.works()
-	case !final(err):
-		l.fails(err)
 	}
 	return nc, err
 }
 
+func (l *Listener) pause(d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-l.closed:
+	}
+}
+
+// Close implements net.Listener. It ends a pause of Accept.
+func (l *Listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
 // SetDeadline sets the deadline of Accept. It returns an error if the underlying
 // listener has none.
 func (l *Listener) SetDeadline(t time.Time) error {
--- a/ingress/accept.go
+++ b/ingress/accept.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"godwitlock.example/godwitlock/accept"
 )
 
 // lastAcceptWait is how long the last call of Accept waits. It begins with a look
@@ -23,9 +25,11 @@
 	SetDeadline(t time.Time) error
 }
 
-// Serve accepts connections on lis until it fails, is closed, or its queue is empty
-// after StopAccepting. It returns the error of Accept.
+// Serve accepts connections on lis until it is closed, or its queue is empty after
+// StopAccepting. It returns the error of Accept. After other errors of Accept it
+// goes on.
 func (s *Server) Serve(lis net.Listener) error {
+	lis = accept.Of(lis)
 	s.serving.Add(1)
 	defer s.serving.Add(-1)
 	lastCall := false
