node: a task that fails delays only itself

Callers saw: after five failures of the task that accepts connections, within one millisecond, nothing restarted it for 15 s. Any other task that ended in that time would have stayed down as well.

Cause: the supervisor counts the failures of all tasks together and pauses all restarts for its default back-off.

Evidence, with the supervisor as it was: TestFailingTaskDoesNotHoldUpOthers/error and /panic: "expected: 2, actual: 1, the other task was not started again".

Change: package internal/supervised runs a task again after 10 ms, growing to 1 s, and anew from 10 ms after the task ran for 5 s. A panic counts as a failure, with its stack. Each failure is logged (task_failed) and counted. The supervisor's own threshold is infinite.

Why it works: a failure no longer reaches the supervisor, and its back-off has no threshold that anything could reach.

--- a/node/node.go
+++ b/node/node.go
@@ -23,6 +23,7 @@
 	"godwitlock.example/godwitlock/fleet/fleetpb"
 	"godwitlock.example/godwitlock/forward"
 	"godwitlock.example/godwitlock/ingress"
+	"godwitlock.example/godwitlock/internal/supervised"
 	"godwitlock.example/godwitlock/leader"
 	"godwitlock.example/godwitlock/metric"
 	"godwitlock.example/godwitlock/peer"
@@ -256,26 +257,15 @@
 	return poolServers(n.view.Snapshot(), pool, since)
 }
 
-// task adapts a function to suture.Service.
+// task is a duty of the process. It runs again when it ends.
 type task struct {
 	name string
 	run  func(ctx context.Context) error
 }
 
-// Serve implements suture.Service.
-func (t task) Serve(ctx context.Context) error { return t.run(ctx) }
-
-// String implements fmt.Stringer.
-func (t task) String() string { return t.name }
-
 // Run serves until ctx ends, and then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
-	sup := suture.New(string(n.settings.VM), suture.Spec{
-		EventHook: func(e suture.Event) { n.log.Event("supervisor").Str("what", e.String()).Send() },
-	})
-	for _, t := range n.tasks() {
-		sup.Add(t)
-	}
+	sup := n.supervise(n.tasks())
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	done := sup.ServeBackground(work)
@@ -291,6 +281,22 @@
 	return nil
 }
 
+// supervise returns a supervisor of the tasks.
+func (n *Node) supervise(tasks []task) *suture.Supervisor {
+	sup := suture.New(string(n.settings.VM), supervised.Spec(func(e suture.Event) {
+		n.log.Event("supervisor").Str("what", e.String()).Send()
+	}))
+	for _, t := range tasks {
+		sup.Add(supervised.Task{Name: t.name, Run: t.run, OnFailure: n.logTaskFailure})
+	}
+	return sup
+}
+
+func (n *Node) logTaskFailure(name string, err error, pause time.Duration) {
+	n.log.Event("task_failed").Str("task", name).Err(err).Dur("pause_ms", pause).Send()
+	n.metrics.Count("task_failures", "task", name)
+}
+
 func (n *Node) tasks() []task {
 	list := []task{
 		{"log", n.log.Run},
