--- a/node/node.go
+++ b/node/node.go
@@ -23,6 +23,7 @@
 	"godwitlock.example/godwitlock/fleet/fleetpb"
 	"godwitlock.example/godwitlock/forward"
 	"godwitlock.example/godwitlock/ingress"
+	"godwitlock.example/godwitlock/internal/supervised"
 	"godwitlock.example/godwitlock/leader"
 	"godwitlock.example/godwitlock/metric"
 	"godwitlock.example/godwitlock/peer"
@@ -120,6 +121,7 @@
 			return nil, errors.Annotatef(err, "listening on %s", l.addr)
 		}
 	}
+	n.wrapListeners()
 	n.assemble()
 	return n, nil
 }
@@ -172,7 +174,7 @@
 func (n *Node) registerGauges() {
 	n.metrics.Gauge("config_age_seconds", func() float64 { return clock.Boot().Sub(n.view.Confirmed()).Seconds() })
 	n.metrics.Gauge("store_era", func() float64 { return float64(n.storeEra.current()) })
-	n.metrics.Gauge("caller_connections", func() float64 { return float64(n.ingress.OpenConnections()) })
+	n.registerConnGauges()
 	n.metrics.Gauge("home_waiting", func() float64 { w, _ := n.broker.Depth(); return float64(w) })
 	n.metrics.Gauge("home_running", func() float64 { _, r := n.broker.Depth(); return float64(r) })
 }
@@ -265,26 +267,15 @@
 	return poolServers(n.view.Snapshot(), pool, since)
 }
 
-// task adapts a function to suture.Service.
+// task is a duty of the process. It runs again when it ends.
 type task struct {
 	name string
 	run  func(ctx context.Context) error
 }
 
-// Serve implements suture.Service.
-func (t task) Serve(ctx context.Context) error { return t.run(ctx) }
-
-// String implements fmt.Stringer.
-func (t task) String() string { return t.name }
-
 // Run serves until ctx ends, and then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
-	sup := suture.New(string(n.settings.VM), suture.Spec{
-		EventHook: func(e suture.Event) { n.log.Event("supervisor").Str("what", e.String()).Send() },
-	})
-	for _, t := range n.tasks() {
-		sup.Add(t)
-	}
+	sup := n.supervise(n.tasks())
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	done := sup.ServeBackground(work)
@@ -300,6 +291,22 @@
 	return nil
 }
 
+// supervise returns a supervisor of the tasks.
+func (n *Node) supervise(tasks []task) *suture.Supervisor {
+	sup := suture.New(string(n.settings.VM), supervised.Spec(func(e suture.Event) {
+		n.log.Event("supervisor").Str("what", e.String()).Send()
+	}))
+	for _, t := range tasks {
+		sup.Add(supervised.Task{Name: t.name, Run: t.run, OnFailure: n.logTaskFailure})
+	}
+	return sup
+}
+
+func (n *Node) logTaskFailure(name string, err error, pause time.Duration) {
+	n.log.Event("task_failed").Str("task", name).Err(err).Dur("pause_ms", pause).Send()
+	n.metrics.Count("task_failures", "task", name)
+}
+
 func (n *Node) tasks() []task {
 	list := []task{
 		{"log", n.log.Run},
@@ -336,9 +343,11 @@
 }
 
 func (n *Node) runSweep(ctx context.Context) error {
+	var conns connLog
 	for ctx.Err() == nil {
 		pause(ctx, sweepInterval)
 		n.egress.Sweep()
+		conns.tick(n)
 		n.storeCalls.logCounts(n.log)
 	}
 	return ctx.Err()
