--- a/standin/platform/site/store.go
+++ b/standin/platform/site/store.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"io"
 	"net/http"
 	"sort"
 	"strconv"
@@ -21,11 +23,23 @@
 		Rev  uint64 `json:"rev"`
 	} `json:"metadata"`
 	Spec json.RawMessage `json:"spec"`
+	// text, unless empty, is sent in place of the encoded object.
+	text string
+}
+
+// encode returns the object as the store sends it. It does not check the spec, so
+// that a store may hold what encoding/json refuses.
+func (o Object) encode() string {
+	if o.text != "" {
+		return o.text
+	}
+	metadata, _ := json.Marshal(o.Metadata)
+	return fmt.Sprintf(`{"metadata":%s,"spec":%s}`, metadata, o.Spec)
 }
 
 type event struct {
-	Object    Object `json:"object"`
-	Tombstone bool   `json:"tombstone"`
+	Object    Object
+	Tombstone bool
 	kind      string
 }
 
@@ -79,21 +93,46 @@
 	if err != nil {
 		panic(err)
 	}
+	s.PutText(kind, name, string(data))
+}
+
+// PutText writes an object with the given text as its spec, as another program may.
+// The text need not be valid JSON.
+func (s *Store) PutText(kind, name, spec string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.put(kind, name, data)
+	s.put(kind, name, []byte(spec))
 }
 
+// PutObjectText writes an object that lists and watches return as the given text.
+// RevisionMark in the text stands for the revision of the object.
+func (s *Store) PutObjectText(kind, name, text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.replace(kind, name, []byte(text), func(rev uint64) string {
+		return strings.ReplaceAll(text, RevisionMark, strconv.FormatUint(rev, 10))
+	})
+}
+
+// RevisionMark stands for the revision in the text of PutObjectText.
+const RevisionMark = "$rev"
+
 func (s *Store) put(kind, name string, spec []byte) Object {
-	if s.objects[kind] == nil {
-		s.objects[kind] = make(map[string]Object)
-	}
 	o := s.objects[kind][name]
 	if o.Metadata.Rev > 0 && string(o.Spec) == string(spec) {
 		return o
 	}
+	return s.replace(kind, name, spec, func(uint64) string { return "" })
+}
+
+// replace writes an object under the next revision.
+func (s *Store) replace(kind, name string, spec []byte, text func(rev uint64) string) Object {
+	if s.objects[kind] == nil {
+		s.objects[kind] = make(map[string]Object)
+	}
 	s.rev++
-	o.Metadata.Name, o.Metadata.Rev, o.Spec = name, s.rev, spec
+	o := Object{Spec: spec, text: text(s.rev)}
+	o.Metadata.Name, o.Metadata.Rev = name, s.rev
 	s.objects[kind][name] = o
 	s.record(event{Object: o, kind: kind})
 	return o
@@ -115,7 +154,7 @@
 	}
 	delete(s.objects[kind], name)
 	s.rev++
-	o.Metadata.Rev = s.rev
+	o.Metadata.Rev, o.text = s.rev, ""
 	s.record(event{Object: o, Tombstone: true, kind: kind})
 }
 
@@ -146,12 +185,10 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	if body != nil {
-		_ = json.NewEncoder(w).Encode(body)
-	}
+	_, _ = io.WriteString(w, body)
 }
 
-func (s *Store) serve(r *http.Request) (int, any) {
+func (s *Store) serve(r *http.Request) (int, string) {
 	path := strings.TrimPrefix(r.URL.Path, "/objects/")
 	kind, name, _ := strings.Cut(path, "/")
 	if r.Method == http.MethodGet && name == "" && r.URL.Query().Has("watch") {
@@ -165,19 +202,19 @@
 	case r.Method == http.MethodGet:
 		o, ok := s.objects[kind][name]
 		if !ok {
-			return http.StatusNotFound, nil
+			return http.StatusNotFound, ""
 		}
-		return http.StatusOK, o
+		return http.StatusOK, o.encode()
 	case r.Method == http.MethodPost || r.Method == http.MethodPut:
 		return s.write(r, kind, name)
 	}
-	return http.StatusMethodNotAllowed, nil
+	return http.StatusMethodNotAllowed, ""
 }
 
-func (s *Store) write(r *http.Request, kind, name string) (int, any) {
+func (s *Store) write(r *http.Request, kind, name string) (int, string) {
 	var o Object
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
-		return http.StatusBadRequest, nil
+		return http.StatusBadRequest, ""
 	}
 	if name == "" {
 		name = o.Metadata.Name
@@ -185,16 +222,16 @@
 	current, exists := s.objects[kind][name]
 	switch {
 	case r.Method == http.MethodPost && exists:
-		return http.StatusConflict, current
+		return http.StatusConflict, current.encode()
 	case r.Method == http.MethodPut && !exists:
-		return http.StatusNotFound, nil
+		return http.StatusNotFound, ""
 	case r.Method == http.MethodPut && o.Metadata.Rev != 0 && o.Metadata.Rev != current.Metadata.Rev:
-		return http.StatusConflict, current
+		return http.StatusConflict, current.encode()
 	}
-	return http.StatusOK, s.put(kind, name, o.Spec)
+	return http.StatusOK, s.put(kind, name, o.Spec).encode()
 }
 
-func (s *Store) list(kind, after string) (int, any) {
+func (s *Store) list(kind, after string) (int, string) {
 	var names []string
 	for n := range s.objects[kind] {
 		if n > after {
@@ -203,16 +240,16 @@
 	}
 	sort.Strings(names)
 	more := len(names) > pageSize
-	items := make([]Object, 0, pageSize)
+	items := make([]string, 0, pageSize)
 	for _, n := range names[:min(pageSize, len(names))] {
-		items = append(items, s.objects[kind][n])
+		items = append(items, s.objects[kind][n].encode())
 	}
-	return http.StatusOK, map[string]any{"items": items, "hasMore": more, "atRev": s.rev}
+	return http.StatusOK, fmt.Sprintf(`{"items":[%s],"hasMore":%t,"atRev":%d}`, strings.Join(items, ","), more, s.rev)
 }
 
 // watch waits for events of a kind after the given revision, for at most the
 // given time.
-func (s *Store) watch(r *http.Request, kind string) (int, any) {
+func (s *Store) watch(r *http.Request, kind string) (int, string) {
 	after, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
@@ -221,25 +258,26 @@
 		s.mu.Lock()
 		if after < s.compactedRev {
 			s.mu.Unlock()
-			return http.StatusGone, nil
+			return http.StatusGone, ""
 		}
-		events := []event{}
+		var events []string
 		for _, e := range s.events {
 			if e.kind == kind && e.Object.Metadata.Rev > after {
-				events = append(events, e)
+				events = append(events, fmt.Sprintf(`{"object":%s,"tombstone":%t}`, e.Object.encode(), e.Tombstone))
 			}
 		}
 		rev, changed := s.rev, s.changed
 		s.mu.Unlock()
+		body := fmt.Sprintf(`{"events":[%s],"atRev":%d}`, strings.Join(events, ","), rev)
 		if len(events) > 0 {
-			return http.StatusOK, map[string]any{"events": events, "atRev": rev}
+			return http.StatusOK, body
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return http.StatusOK, map[string]any{"events": events, "atRev": rev}
+			return http.StatusOK, body
 		case <-r.Context().Done():
-			return http.StatusServiceUnavailable, nil
+			return http.StatusServiceUnavailable, ""
 		}
 	}
 }
