view: dividing a pool takes no time for the slots of an entry

Callers could see: slow answers or a VM that ends for lack of memory, on all VMs at once. One entry of a pooled service with a huge number of slots was enough.

Cause: a data centre is divided into one part per 24 slots, and each part was named and matched with all servers, although at most one part per server has any.

Change: each server is added to its part.

--- a/view/pools.go
+++ b/view/pools.go
@@ -94,9 +94,12 @@
 }
 
 func (p part) has(srv *directory.Server) bool {
-	return srv.DataCentre == p.dataCentre && int(hash("part", string(srv.ID))%uint64(p.of)) == p.index
+	return srv.DataCentre == p.dataCentre && partIndex(srv.ID, p.of) == p.index
 }
 
+// partIndex returns the index of the part to which a server belongs.
+func partIndex(id topo.ServerID, of int) int { return int(hash("part", string(id)) % uint64(of)) }
+
 func (p part) name() string {
 	return servicePoolPrefix + strings.Join([]string{
 		string(p.service), string(p.dataCentre), strconv.Itoa(p.index), strconv.Itoa(p.of),
@@ -141,17 +144,14 @@
 		slots += srv.Slots
 	}
 	parts := max(1, (slots+partSlots/2)/partSlots)
-	var out []Pool
-	for i := range parts {
-		p := part{name, dc, i, parts}
-		pool := Pool{Name: p.name(), DataCentre: dc}
-		for _, srv := range servers {
-			if p.has(srv) {
-				pool.Slots += srv.Slots
-			}
-		}
-		if pool.Slots > 0 {
-			out = append(out, pool)
+	slotsOf := make(map[int]int)
+	for _, srv := range servers {
+		slotsOf[partIndex(srv.ID, parts)] += srv.Slots
+	}
+	out := make([]Pool, 0, len(slotsOf))
+	for i, n := range slotsOf {
+		if n > 0 {
+			out = append(out, Pool{Name: part{name, dc, i, parts}.name(), DataCentre: dc, Slots: n})
 		}
 	}
 	return out
--- a/view/pools_test.go
+++ b/view/pools_test.go
@@ -95,3 +95,19 @@
 	}
 	require.InDelta(t, 2000*1.6/2.88, large, 100)
 }
+
+// Guards against a server whose entry claims very many slots, for which dividing its
+// data centre used time and memory in proportion to them.
+func TestDividingAPoolDoesNotDependOnTheSlots(t *testing.T) {
+	servers := func(slots int) []*directory.Server {
+		return []*directory.Server{{ID: "a", DataCentre: "dc", Slots: 3}, {ID: "b", DataCentre: "dc", Slots: slots}}
+	}
+	allocations := func(slots int) float64 {
+		list := servers(slots)
+		return testing.AllocsPerRun(10, func() { dividePools("s", list) })
+	}
+	require.LessOrEqual(t, allocations(1<<16), 2*allocations(1<<8))
+	pools := dividePools("s", servers(1<<16))
+	require.Len(t, pools, 2)
+	require.Equal(t, 1<<16+3, pools[0].Slots+pools[1].Slots)
+}
