view: names of pools are read back whole

Callers could see: refusals of requests to a service with more than 64 slots, although its servers are free. One entry with a data centre such as "a|b" was enough: its part of the pool is drawn by its slots, and its home VM finds no servers for it.

Cause: the fields in the name of a part are separated by "|" and were not escaped, so that such a name was taken for that of a whole service.

Evidence: TestPoolNamesAreReadBackWhole on the code before: "[]" should have 1 item(s), but has 0 (pool service/s|t|a%7Cb|0|1)

Change: the two names are escaped.

--- a/view/pools.go
+++ b/view/pools.go
@@ -1,6 +1,7 @@
 package view
 
 import (
+	"net/url"
 	"slices"
 	"strconv"
 	"strings"
@@ -25,7 +26,8 @@
 // Prefixes of pool names.
 const serverPoolPrefix, servicePoolPrefix = "server/", "service/"
 
-// partSeparator separates the fields in the name of a part of a divided pool.
+// partSeparator separates the fields in the name of a part of a divided pool. The
+// names in it are escaped, since they may contain it.
 const partSeparator = "|"
 
 // Pool is a group of servers whose slots are granted by one home VM.
@@ -102,7 +104,7 @@
 
 func (p part) name() string {
 	return servicePoolPrefix + strings.Join([]string{
-		string(p.service), string(p.dataCentre), strconv.Itoa(p.index), strconv.Itoa(p.of),
+		url.PathEscape(string(p.service)), url.PathEscape(string(p.dataCentre)), strconv.Itoa(p.index), strconv.Itoa(p.of),
 	}, partSeparator)
 }
 
@@ -111,12 +113,14 @@
 	if len(fields) != 4 {
 		return part{}, false
 	}
-	index, err := strconv.Atoi(fields[2])
-	of, err2 := strconv.Atoi(fields[3])
-	if err != nil || err2 != nil || of < 1 {
+	service, err := url.PathUnescape(fields[0])
+	dataCentre, err2 := url.PathUnescape(fields[1])
+	index, err3 := strconv.Atoi(fields[2])
+	of, err4 := strconv.Atoi(fields[3])
+	if err != nil || err2 != nil || err3 != nil || err4 != nil || of < 1 {
 		return part{}, false
 	}
-	return part{topo.ServiceName(fields[0]), topo.DataCentreName(fields[1]), index, of}, true
+	return part{topo.ServiceName(service), topo.DataCentreName(dataCentre), index, of}, true
 }
 
 // dividePools returns the pools of a service that is not keyed, given its usable
--- a/view/pools_test.go
+++ b/view/pools_test.go
@@ -111,3 +111,22 @@
 	require.Len(t, pools, 2)
 	require.Equal(t, 1<<16+3, pools[0].Slots+pools[1].Slots)
 }
+
+// Guards against a data centre whose name has the separator of pool names: the VMs
+// found no server for its parts, and refused requests that were sent there.
+func TestPoolNamesAreReadBackWhole(t *testing.T) {
+	var servers []*directory.Server
+	for i, dc := range []topo.DataCentreName{"a|b", "a", "a%7Cb", "a/b", "", "é"} {
+		servers = append(servers, &directory.Server{ID: topo.ServerID(fmt.Sprint("s", i)), Service: "s|t", DataCentre: dc, Slots: 30})
+	}
+	s := &Snapshot{usable: map[topo.ServiceName][]*directory.Server{"s|t": servers}}
+	pools := dividePools("s|t", servers)
+	require.Len(t, pools, len(servers))
+	for _, p := range pools {
+		found := s.PoolServers(p.Name)
+		require.Len(t, found, 1, "pool %s", p.Name)
+		require.Equal(t, p.DataCentre, found[0].DataCentre)
+		require.Equal(t, p.DataCentre, s.PoolDataCentre(p.Name))
+	}
+	require.Equal(t, "service/pool-1.b_c|dc-a|0|2", part{"pool-1.b_c", "dc-a", 0, 2}.name(), "ordinary names stay as they are")
+}
