node: a table that cannot be read holds up only its own service

Callers could see: no key of any service is assigned, as long as one object among the stored tables cannot be read. Each new leader reads it again every 100 ms and does nothing else. An object that holds the table of another service had the same effect: it was written under that service's name with the wrong version.

Cause: adoptTables needed all objects, since the table of a service must not be treated as absent; its fences would start anew.

Change: an object that is not the table of the service that it is named after is remembered by its key. No table is created for a service with such an object; it is read again every 2 s, in the background, and adopted once it can be read, or left to startTable once it has been deleted. Other services are served. A result that arrives after the end of its term is dropped.

--- a/node/assigner.go
+++ b/node/assigner.go
@@ -53,6 +53,9 @@
 	// goroutine of Run uses it.
 	machines map[topo.ServiceName]*ownership.Machine
 	loads    *loads
+	// unreadable holds the key of each stored table that cannot be read, and when
+	// it was read last.
+	unreadable map[string]time.Time
 	// firstServerSeen is when the first usable server of a service without a
 	// table was seen.
 	firstServerSeen map[topo.ServiceName]time.Time
@@ -218,7 +221,9 @@
 func (a *assigner) updateService(now time.Time, snap *view.Snapshot, svc *routemap.Service) {
 	m := a.machines[svc.Name]
 	if m == nil {
-		a.startTable(now, snap, svc)
+		if !a.retryTable(now, svc.Name) {
+			a.startTable(now, snap, svc)
+		}
 		return
 	}
 	if len(m.Holds()) == 0 {
