--- a/view/pools_test.go
+++ b/view/pools_test.go
@@ -95,3 +95,38 @@
 	}
 	require.InDelta(t, 2000*1.6/2.88, large, 100)
 }
+
+// Guards against a server whose entry claims very many slots, for which dividing its
+// data centre used time and memory in proportion to them.
+func TestDividingAPoolDoesNotDependOnTheSlots(t *testing.T) {
+	servers := func(slots int) []*directory.Server {
+		return []*directory.Server{{ID: "a", DataCentre: "dc", Slots: 3}, {ID: "b", DataCentre: "dc", Slots: slots}}
+	}
+	allocations := func(slots int) float64 {
+		list := servers(slots)
+		return testing.AllocsPerRun(10, func() { dividePools("s", list) })
+	}
+	require.LessOrEqual(t, allocations(1<<16), 2*allocations(1<<8))
+	pools := dividePools("s", servers(1<<16))
+	require.Len(t, pools, 2)
+	require.Equal(t, 1<<16+3, pools[0].Slots+pools[1].Slots)
+}
+
+// Guards against a data centre whose name has the separator of pool names: the VMs
+// found no server for its parts, and refused requests that were sent there.
+func TestPoolNamesAreReadBackWhole(t *testing.T) {
+	var servers []*directory.Server
+	for i, dc := range []topo.DataCentreName{"a|b", "a", "a%7Cb", "a/b", "", "é"} {
+		servers = append(servers, &directory.Server{ID: topo.ServerID(fmt.Sprint("s", i)), Service: "s|t", DataCentre: dc, Slots: 30})
+	}
+	s := &Snapshot{usable: map[topo.ServiceName][]*directory.Server{"s|t": servers}}
+	pools := dividePools("s|t", servers)
+	require.Len(t, pools, len(servers))
+	for _, p := range pools {
+		found := s.PoolServers(p.Name)
+		require.Len(t, found, 1, "pool %s", p.Name)
+		require.Equal(t, p.DataCentre, found[0].DataCentre)
+		require.Equal(t, p.DataCentre, s.PoolDataCentre(p.Name))
+	}
+	require.Equal(t, "service/pool-1.b_c|dc-a|0|2", part{"pool-1.b_c", "dc-a", 0, 2}.name(), "ordinary names stay as they are")
+}
