forward: a request that arrives after RefuseWaiting is not sent

Callers could see: a request that a stopping VM read in the last 1.5 s before SIGKILL was passed on to its server and, unless it was quick, answered 502 or cut 0.6 s before the end. That holds for requests that must not be repeated.

Cause: the wait for a slot is cancelled by context.AfterFunc, which runs its function in a goroutine of its own, also when the context has ended before. A request that gets its slot at once was sent before that goroutine ran.

Evidence: both new tests fail without the change; requests are answered by the server instead of being refused: TestRequestThatArrivesAfterRefuseWaitingIsNotSent: expected: "shutting_down\n" actual: "body" (/w/1, a route whose requests must not be repeated) TestRequestThatTakesItsTokenAtRefuseWaitingIsNotSent: the same

Change: untilRefused returns a context that has ended already if the stop refuses the request; it is used by the wait for a token and by the wait for an owner or a slot. A request that arrives after RefuseWaiting is refused before it takes a token.

Why it works: the state of the stop is read in the goroutine of the request, so nothing has to run in between.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -50,16 +50,15 @@
 	// The wait for an owner or a slot ends when the caller disconnects, even
 	// for a non-repeatable request, which a disconnect no longer cancels once it
 	// was sent.
-	waitCtx, stopWaiting := context.WithCancelCause(ctx)
+	waitCtx, stopWaiting := f.untilRefused(ctx)
 	defer stopWaiting(errFinished)
 	defer context.AfterFunc(workCtx, func() { stopWaiting(context.Cause(workCtx)) })()
-	defer context.AfterFunc(f.stopCtx, func() { stopWaiting(ErrStopping) })()
 	newOwnerOnly := false
 	for {
 		server, ref := f.acquireServer(waitCtx, r, newOwnerOnly)
 		if ref != nil {
 			cancel()
-			if f.stopCtx.Err() != nil {
+			if f.refusedByStop() {
 				ref = &refusal{errkind.ShuttingDown, defaultRetryAfter, "VM is shutting down: " + ref.reason}
 			}
 			kind := r.attempts.AdjustKind(ref.kind)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -219,6 +219,9 @@
 		}
 	}
 	r.prepareAttempts()
+	if f.refusedByStop() {
+		return errkind.ShuttingDown, "VM is shutting down: request arrived too late"
+	}
 	if r.customer == nil || r.customer.Rate <= 0 {
 		return errkind.Unset, ""
 	}
@@ -250,9 +253,8 @@
 	if len(snap.Members) == 0 && clock.Boot().Sub(f.started) > startupTime {
 		wait = 0
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer context.AfterFunc(f.stopCtx, cancel)()
+	ctx, cancel := f.untilRefused(ctx)
+	defer cancel(errFinished)
 	return f.RateLimiter.Take(ctx, r.customer.ID, time.Now().Add(wait))
 }
 
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -49,9 +50,18 @@
 	return fakeSlot{}, permit.Decision{Verdict: permit.Granted, Server: "s1"}
 }
 
-type fakeRates struct{ returned int }
+// fakeRates grants all tokens. It calls onTake, if set, before it grants one.
+type fakeRates struct {
+	onTake   func()
+	taken    atomic.Int32
+	returned int
+}
 
-func (*fakeRates) Take(context.Context, topo.CustomerID, time.Time) errkind.Kind {
+func (f *fakeRates) Take(context.Context, topo.CustomerID, time.Time) errkind.Kind {
+	f.taken.Add(1)
+	if f.onTake != nil {
+		f.onTake()
+	}
 	return errkind.Unset
 }
 func (f *fakeRates) Return(topo.CustomerID) { f.returned++ }
--- a/forward/stop_test.go
+++ b/forward/stop_test.go
@@ -160,3 +160,37 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// lateRequests is enough for one of them to overtake a cancellation that is not
+// synchronous.
+const lateRequests = 50
+
+// Guards against a request that arrives after the waiting ones were refused, is sent,
+// and is cut at the end of the stop.
+func TestRequestThatArrivesAfterRefuseWaitingIsNotSent(t *testing.T) {
+	for _, path := range []string{"/w/1", "/r/1"} {
+		tf := newTestForwarder(t, okResponse)
+		tf.RefuseWaiting()
+		for range lateRequests {
+			ans := tf.Serve(context.Background(), newRequest(path))
+			require.Equal(t, "shutting_down\n", string(ans.Body), path)
+			require.Equal(t, http.StatusServiceUnavailable, ans.Status, path)
+			require.NotEmpty(t, ans.Header.Get("Retry-After"), path)
+		}
+		require.Empty(t, tf.received, path)
+		require.Zero(t, tf.rates.taken.Load(), "a refused request takes no token")
+	}
+}
+
+// Guards against a request that is sent although the waiting ones were refused while
+// it took a token.
+func TestRequestThatTakesItsTokenAtRefuseWaitingIsNotSent(t *testing.T) {
+	for range lateRequests {
+		tf := newTestForwarder(t, okResponse)
+		tf.rates.onTake = tf.RefuseWaiting
+		ans := tf.Serve(context.Background(), newRequest("/w/1"))
+		require.Equal(t, "shutting_down\n", string(ans.Body))
+		require.Empty(t, tf.received)
+		require.Equal(t, 1, tf.rates.returned)
+	}
+}
