forward: no request is written to a server after RefuseWaiting

Callers could see: a request whose slot was granted right as a stopping VM refused the waiting ones, or which was connecting to its server then (up to 350 ms), was written all the same, and cut or answered 502 at the end.

Cause: the stop was checked while the request waited and not after that.

Evidence: without the change in package forward, TestRequestIsNotWrittenAfterRefuseWaiting (connected): expected: "shutting_down\n" actual: "body" and without the one in package egress, TestRequestWithdrawnBeforeItsFirstByteIsNotSent (new connection): An error is expected but got nil.

Change: egress.Request.BeforeWrite is called right before the first byte is written; its error ends the exchange as not run. Package forward refuses there what the stop refuses, as shutting_down (503, Retry-After, the token goes back). It is no failure of the server.

Why it works: nothing that waits lies between this check and the write, so a request that passes it counts as sent before RefuseWaiting.

--- a/egress/conn.go
+++ b/egress/conn.go
@@ -128,6 +128,11 @@
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
+	if req.BeforeWrite != nil {
+		if err := req.BeforeWrite(); err != nil {
+			return nil, err
+		}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.nc.SetDeadline(time.Unix(1, 0)) })
 	writeResult, err := cn.sendRequest(h, target, req)
 	if err != nil {
--- a/egress/egress.go
+++ b/egress/egress.go
@@ -89,6 +89,9 @@
 	// Deadline is when the server is to stop working on the request. It is sent
 	// as the remaining time.
 	Deadline time.Time
+	// BeforeWrite, unless nil, is called right before the first byte is written. Its
+	// error prevents that and becomes the cause of the failure.
+	BeforeWrite func() error
 }
 
 // Response is the response of a backend server. The receiver must close Body.
--- a/egress/egress_test.go
+++ b/egress/egress_test.go
@@ -264,3 +264,38 @@
 	require.Error(t, err)
 	<-closed
 }
+
+// Guards against a request that is written, or reported as one that may have run,
+// although its sender withdrew it while it connected.
+func TestRequestWithdrawnBeforeItsFirstByteIsNotSent(t *testing.T) {
+	received := make(chan struct{}, 2)
+	target := startServer(t, func(nc net.Conn, br *bufio.Reader) {
+		for {
+			r, ok := readRequest(br)
+			if !ok {
+				return
+			}
+			received <- struct{}{}
+			_, _ = io.WriteString(nc, okResponse(r.Header.Get("Request-Id"), "Content-Length: 0\r\n", ""))
+		}
+	})
+	c := New(testHeaders)
+	withdrawn := errors.New("withdrawn")
+	// The second request finds the connection of the first one.
+	for _, id := range []string{"new connection", "kept connection"} {
+		req := newGetRequest(id)
+		req.BeforeWrite = func() error { return withdrawn }
+		_, err := c.Do(t.Context(), target, req)
+		var fail *Failure
+		require.ErrorAs(t, err, &fail, id)
+		require.False(t, fail.MayHaveRun, id)
+		require.ErrorIs(t, err, withdrawn, id)
+		require.Empty(t, received, id)
+		resp, err := c.Do(t.Context(), target, newGetRequest("served before "+id))
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		<-received
+	}
+}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -68,7 +68,7 @@
 		if res.outcome == Answered {
 			return f.deliver(workCtx, r, server, res, cancel), true
 		}
-		if waitCtx.Err() != nil {
+		if waitCtx.Err() != nil || f.refusedByStop() {
 			// The request is cancelled: it is not sent again.
 			r.attempts.Max = 0
 		}
@@ -96,7 +96,7 @@
 			reason += "; request was cancelled: " + cause
 		}
 		cancel()
-		kind := errkind.ServerUnreachable
+		kind, retryAfter := errkind.ServerUnreachable, f.failureRetryAfter(r)
 		switch {
 		case action == ReportUnknown && !time.Now().Before(r.deadline):
 			kind = errkind.DeadlineAfterRun
@@ -106,8 +106,10 @@
 			kind = errkind.ServerRefused
 		case res.outcome == NotOwner:
 			kind = errkind.NoOwner
+		case f.refusedByStop():
+			kind, retryAfter = errkind.ShuttingDown, defaultRetryAfter
 		}
-		return f.refuse(r, kind, f.failureRetryAfter(r), reason), action == ReportUnknown
+		return f.refuse(r, kind, retryAfter, reason), action == ReportUnknown
 	}
 }
 
@@ -176,12 +178,12 @@
 func (f *Forwarder) sendOnce(ctx context.Context, r *request, server grantedServer) *result {
 	start := time.Now()
 	r.Progress.SetSent((*string)(&server.ID), start)
-	resp, err := f.Egress.Do(ctx, egress.Target{Incarnation: server.Incarnation(), Addr: server.Addr, MaxConns: r.service.MaxConns}, r.serverRequest())
+	resp, err := f.Egress.Do(ctx, egress.Target{Incarnation: server.Incarnation(), Addr: server.Addr, MaxConns: r.service.MaxConns}, f.serverRequest(r))
 	serviceTime := time.Since(start)
 	if err != nil {
 		res := resultOfError(err)
 		res.serviceTime = serviceTime
-		server.slot.Finish(permit.Result{Failed: r.failedByServer(ctx)})
+		server.slot.Finish(permit.Result{Failed: r.failedByServer(ctx) && !errors.Is(err, ErrStopping)})
 		return res
 	}
 	res := &result{resp: resp, serviceTime: serviceTime}
@@ -222,10 +224,10 @@
 	return &result{outcome: AnswerLost, reason: err.Error()}
 }
 
-func (r *request) serverRequest() *egress.Request {
+func (f *Forwarder) serverRequest(r *request) *egress.Request {
 	return &egress.Request{
 		ID: r.ID, Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Customer: r.customerID(),
-		Body: r.Body, Stream: r.Stream, Length: r.Length, Deadline: r.deadline,
+		Body: r.Body, Stream: r.Stream, Length: r.Length, Deadline: r.deadline, BeforeWrite: f.beforeWrite,
 	}
 }
 
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -26,15 +26,23 @@
 )
 
 // fakeSlots grants a slot when allowGrant is closed, or at once when allowGrant
-// is nil. It closes acquireCalled, if set, at the call of Acquire.
+// is nil. It closes acquireCalled, if set, at the call of Acquire, and calls onGrant,
+// if set, before it grants a slot.
 type fakeSlots struct {
 	allowGrant    chan struct{}
 	acquireCalled chan struct{}
+	onGrant       func()
+	// failures counts the slots whose server failed.
+	failures atomic.Int32
 }
 
-type fakeSlot struct{}
+type fakeSlot struct{ slots *fakeSlots }
 
-func (fakeSlot) Finish(permit.Result) {}
+func (s fakeSlot) Finish(r permit.Result) {
+	if r.Failed {
+		s.slots.failures.Add(1)
+	}
+}
 
 func (f *fakeSlots) Acquire(ctx context.Context, _ *view.Snapshot, pool string, _ permit.Request) (Slot, permit.Decision) {
 	if f.acquireCalled != nil {
@@ -47,7 +55,10 @@
 			return nil, permit.Decision{Verdict: permit.Refused}
 		}
 	}
-	return fakeSlot{}, permit.Decision{Verdict: permit.Granted, Server: "s1"}
+	if f.onGrant != nil {
+		f.onGrant()
+	}
+	return fakeSlot{f}, permit.Decision{Verdict: permit.Granted, Server: "s1"}
 }
 
 // fakeRates grants all tokens. It calls onTake, if set, before it grants one.
--- a/forward/stop_test.go
+++ b/forward/stop_test.go
@@ -194,3 +194,25 @@
 		require.Equal(t, 1, tf.rates.returned)
 	}
 }
+
+// Guards against a request that is written to its server after the waiting ones were
+// refused: when its slot is granted at that moment, or while it connects.
+func TestRequestIsNotWrittenAfterRefuseWaiting(t *testing.T) {
+	for stage, begin := range map[string]func(tf *testForwarder){
+		"slot granted": func(tf *testForwarder) { tf.slots.onGrant = tf.RefuseWaiting },
+		"connected":    func(tf *testForwarder) { tf.Egress.OnConnect = tf.RefuseWaiting },
+	} {
+		for _, path := range []string{"/w/1", "/r/1"} {
+			for range lateRequests {
+				tf := newTestForwarder(t, okResponse)
+				begin(tf)
+				ans := tf.Serve(context.Background(), newRequest(path))
+				require.Equal(t, "shutting_down\n", string(ans.Body), stage)
+				require.Equal(t, http.StatusServiceUnavailable, ans.Status, stage)
+				require.Empty(t, tf.received, stage)
+				require.Equal(t, 1, tf.rates.returned, stage)
+				require.Zero(t, tf.slots.failures.Load(), "a stop is no failure of the server")
+			}
+		}
+	}
+}
