forward, node: a stop refuses late requests that it might have to cut

A caller cannot send a request again that must not be repeated, so its transaction is lost.

Cause: the only limit was RefuseWaiting, 1.5 s before SIGKILL: a request was passed on until then whatever its server needed. Late requests come on connections of which a part of a request (head or body) had been read when the idle ones were closed, and from waits for a token, an owner or a slot.

Change: RefuseLate, called 3 s after SIGTERM (lateDelay, when the listener is closed) or at half of a shorter grace time, refuses (503, Retry-After, Connection: close) what arrives from then on, and what waits and must not be repeated, unless its deadline is before the time at which attempts are abandoned. The check is also made right before the first byte is written. Repeatable requests that arrived before go on waiting until RefuseWaiting.

Why it works: a request that is passed on later ends by its own deadline before it would be cut. A refused one has not run, and its caller sends it to another VM. Requests passed on before are answered as before.

Not covered: a body of more than 64 KiB is passed on while it arrives, so such a request counts from its head.

--- a/egress/egress.go
+++ b/egress/egress.go
@@ -161,7 +161,9 @@
 	// OnNotice, unless nil, is called with each notice of a server. It must not
 	// block.
 	OnNotice func(topo.Incarnation, Notice)
-	dialer   net.Dialer
+	// Dial, unless nil, opens the connections in place of a net.Dialer.
+	Dial   func(ctx context.Context, network, addr string) (net.Conn, error)
+	dialer net.Dialer
 
 	mu   sync.Mutex
 	idle map[topo.Incarnation][]*conn
@@ -207,7 +209,11 @@
 	}
 	c.open[target.Incarnation]++
 	c.mu.Unlock()
-	nc, err := c.dialer.DialContext(ctx, "tcp", target.Addr)
+	dial := c.dialer.DialContext
+	if c.Dial != nil {
+		dial = c.Dial
+	}
+	nc, err := dial(ctx, "tcp", target.Addr)
 	if err != nil {
 		c.connClosed(target.Incarnation)
 		return nil, err
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -50,7 +50,7 @@
 	// The wait for an owner or a slot ends when the caller disconnects, even
 	// for a non-repeatable request, which a disconnect no longer cancels once it
 	// was sent.
-	waitCtx, stopWaiting := f.untilRefused(ctx)
+	waitCtx, stopWaiting := f.untilRefused(ctx, r)
 	defer stopWaiting(errFinished)
 	defer context.AfterFunc(workCtx, func() { stopWaiting(context.Cause(workCtx)) })()
 	newOwnerOnly := false
@@ -58,7 +58,7 @@
 		server, ref := f.acquireServer(waitCtx, r, newOwnerOnly)
 		if ref != nil {
 			cancel()
-			if f.refusedByStop() {
+			if f.refusedByStop(r) {
 				ref = &refusal{errkind.ShuttingDown, defaultRetryAfter, "VM is shutting down: " + ref.reason}
 			}
 			kind := r.attempts.AdjustKind(ref.kind)
@@ -68,7 +68,7 @@
 		if res.outcome == Answered {
 			return f.deliver(workCtx, r, server, res, cancel), true
 		}
-		if waitCtx.Err() != nil || f.refusedByStop() {
+		if waitCtx.Err() != nil || f.refusedByStop(r) {
 			// The request is cancelled: it is not sent again.
 			r.attempts.Max = 0
 		}
@@ -106,7 +106,7 @@
 			kind = errkind.ServerRefused
 		case res.outcome == NotOwner:
 			kind = errkind.NoOwner
-		case f.refusedByStop():
+		case f.refusedByStop(r):
 			kind, retryAfter = errkind.ShuttingDown, defaultRetryAfter
 		}
 		return f.refuse(r, kind, retryAfter, reason), action == ReportUnknown
@@ -227,7 +227,7 @@
 func (f *Forwarder) serverRequest(r *request) *egress.Request {
 	return &egress.Request{
 		ID: r.ID, Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Customer: r.customerID(),
-		Body: r.Body, Stream: r.Stream, Length: r.Length, Deadline: r.deadline, BeforeWrite: f.beforeWrite,
+		Body: r.Body, Stream: r.Stream, Length: r.Length, Deadline: r.deadline, BeforeWrite: func() error { return f.beforeWrite(r) },
 	}
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -87,6 +88,10 @@
 	started  time.Time
 	splitter *routemap.Splitter
 	spread   *spread.Chooser
+	// lateCtx ends when late requests are to be refused, and lateEnd is set then.
+	lateCtx context.Context
+	late    context.CancelFunc
+	lateEnd atomic.Pointer[time.Time]
 	// stopCtx ends when waiting requests are to be refused.
 	stopCtx context.Context
 	stop    context.CancelFunc
@@ -103,6 +108,7 @@
 	if f.Pauses == nil {
 		f.Pauses = &pushback.Table{}
 	}
+	f.lateCtx, f.late = context.WithCancel(context.Background())
 	f.stopCtx, f.stop = context.WithCancel(context.Background())
 	f.abandonCtx, f.abandon = context.WithCancel(context.Background())
 	return f
@@ -167,15 +173,18 @@
 	// rateTokenTaken says that a token was taken from the customer's rate limit.
 	// The token is returned when the request did not run.
 	rateTokenTaken bool
+	// late says that the request arrived after RefuseLate.
+	late bool
 }
 
 // Serve answers a request. The context must end when the caller disconnects.
 func (f *Forwarder) Serve(ctx context.Context, in *ingress.Request) *ingress.Response {
+	late := f.lateCtx.Err() != nil
 	snap := f.awaitConfig(ctx, in)
 	if snap.Routes == nil {
 		return f.refuse(&request{Request: in}, errkind.FreshnessLost, startRetryAfter(in), "no configuration received yet")
 	}
-	r := &request{Request: in, route: snap.Routes.Route(in.Host, in.Path)}
+	r := &request{Request: in, route: snap.Routes.Route(in.Host, in.Path), late: late}
 	if kind, reason := f.admit(ctx, snap, r); kind != errkind.Unset {
 		retryAfter := defaultRetryAfter
 		if kind == errkind.RateExceeded {
@@ -219,7 +228,7 @@
 		}
 	}
 	r.prepareAttempts()
-	if f.refusedByStop() {
+	if f.refusedByStop(r) {
 		return errkind.ShuttingDown, "VM is shutting down: request arrived too late"
 	}
 	if r.customer == nil || r.customer.Rate <= 0 {
@@ -253,7 +262,7 @@
 	if len(snap.Members) == 0 && clock.Boot().Sub(f.started) > startupTime {
 		wait = 0
 	}
-	ctx, cancel := f.untilRefused(ctx)
+	ctx, cancel := f.untilRefused(ctx, r)
 	defer cancel(errFinished)
 	return f.RateLimiter.Take(ctx, r.customer.ID, time.Now().Add(wait))
 }
--- a/forward/stop_test.go
+++ b/forward/stop_test.go
@@ -216,3 +216,79 @@
 		}
 	}
 }
+
+// lateEnd is an end of the stop before the deadline of the requests of newRequest.
+const lateEnd = time.Second
+
+// Guards against a request that arrives late in a stop and is cut at its server.
+func TestLateRequestIsRefusedUnlessItEndsInTime(t *testing.T) {
+	for _, path := range []string{"/w/1", "/r/1"} {
+		tf := newTestForwarder(t, okResponse)
+		tf.RefuseLate(time.Now().Add(lateEnd))
+		for range lateRequests {
+			ans := tf.Serve(context.Background(), newRequest(path))
+			require.Equal(t, "shutting_down\n", string(ans.Body), path)
+			require.NotEmpty(t, ans.Header.Get("Retry-After"), path)
+		}
+		require.Empty(t, tf.received, path)
+		require.Zero(t, tf.rates.taken.Load(), "a refused request takes no token")
+		brief := newRequest(path)
+		brief.Deadline = brief.Arrived.Add(lateEnd / 2)
+		require.Equal(t, http.StatusOK, tf.Serve(context.Background(), brief).Status, path)
+	}
+}
+
+// Guards against a request that must not run twice, waits until late in a stop, and is
+// cut at its server. A request that may run twice goes on waiting: its caller can
+// send it again whatever happens.
+func TestWaitingRequestAtRefuseLate(t *testing.T) {
+	for stage, begin := range map[string]func(tf *testForwarder, late func()){
+		"waits for a token": func(tf *testForwarder, late func()) { tf.rates.onTake = late },
+		"waits for a slot": func(tf *testForwarder, late func()) {
+			tf.slots.allowGrant, tf.slots.acquireCalled = make(chan struct{}), make(chan struct{})
+			go func() { <-tf.slots.acquireCalled; late() }()
+		},
+		"slot granted": func(tf *testForwarder, late func()) { tf.slots.onGrant = late },
+		"connected":    func(tf *testForwarder, late func()) { tf.Egress.OnConnect = late },
+	} {
+		for _, path := range []string{"/w/1", "/r/1"} {
+			tf := newTestForwarder(t, okResponse)
+			begin(tf, func() {
+				tf.RefuseLate(time.Now().Add(lateEnd))
+				if tf.slots.allowGrant != nil && path == "/r/1" {
+					close(tf.slots.allowGrant)
+				}
+			})
+			ans := tf.Serve(context.Background(), newRequest(path))
+			if path == "/r/1" {
+				require.Equal(t, http.StatusOK, ans.Status, stage)
+				continue
+			}
+			require.Equal(t, "shutting_down\n", string(ans.Body), stage)
+			require.Empty(t, tf.received, stage)
+			require.Equal(t, 1, tf.rates.returned, stage)
+		}
+	}
+}
+
+// Guards against a late stage of a stop that ends the requests at servers, and against
+// one that sends them once more.
+func TestRefuseLateLeavesRequestAtServer(t *testing.T) {
+	for reply, status := range map[string]int{
+		"ok": http.StatusOK,
+		"HTTP/1.1 503 Service Unavailable\r\nRequest-Id: x\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n": http.StatusServiceUnavailable,
+	} {
+		var tf *testForwarder
+		sent := 0
+		tf = newTestForwarder(t, func(id string) string {
+			sent++
+			tf.RefuseLate(time.Now().Add(lateEnd))
+			if reply == "ok" {
+				return okResponse(id)
+			}
+			return reply
+		})
+		require.Equal(t, status, tf.Serve(context.Background(), newRequest("/w/1")).Status)
+		require.Equal(t, 1, sent)
+	}
+}
--- a/node/stop.go
+++ b/node/stop.go
@@ -20,6 +20,10 @@
 	// refuseMargin is the time before SIGKILL at which requests that still wait
 	// for a server are refused, so that their callers get a response.
 	refuseMargin = 1500 * time.Millisecond
+	// lateDelay is the time after SIGTERM from which requests are refused that could
+	// still be at a server abandonMargin before SIGKILL. By then the listener is
+	// closed, so that such requests come from few callers.
+	lateDelay = balancerDelay + maxAcceptTime
 	// finalStepTimeout bounds each of the steps that follow the last response.
 	// They wait for goroutines that may be blocked, such as the handshake of a
 	// peer that sends nothing.
@@ -50,6 +54,11 @@
 	n.log.Event("stopping").Int("connections", n.ingress.OpenConnections()).
 		Int64("answers_dropped", n.answersDropped.Load()).Send()
 	n.ingress.Drain()
+	late := time.AfterFunc(min(lateDelay, limit/2), func() {
+		step("refuse_late")
+		n.forward.RefuseLate(begin.Add(limit - abandonMargin))
+	})
+	defer late.Stop()
 	refuse := time.AfterFunc(limit-refuseMargin, func() {
 		step("refuse_waiting")
 		n.forward.RefuseWaiting()
