node: a stop with a short grace time serves what it can

Callers could see: with a grace time of 2 s, a VM refused all requests from 0.5 s after SIGTERM on, although the load balancer still sent callers to it; with 1.5 s or less it refused every request at once.

Cause: waiting requests are refused a fixed 1.5 s before SIGKILL.

Evidence: TestStopAnswersOrRefusesEachRequestItRead/2s failed before: expected: 200 actual: 503, refused although there was time: w connection 3 of 10, work 50ms, deadline 10s

Change: they are refused at half of the grace time at the earliest. From 3 s on nothing changes.

Why it works: the load balancer is waited for until half of a short grace time, and what arrives until then is served.

--- a/node/stop.go
+++ b/node/stop.go
@@ -18,7 +18,8 @@
 	// them on their connections are delivered in the time until killMargin.
 	abandonMargin = 600 * time.Millisecond
 	// refuseMargin is the time before SIGKILL at which requests that still wait
-	// for a server are refused, so that their callers get a response.
+	// for a server are refused, so that their callers get a response. In a short
+	// grace time they are refused at its half.
 	refuseMargin = 1500 * time.Millisecond
 	// lateDelay is the time after SIGTERM from which requests are refused that could
 	// still be at a server abandonMargin before SIGKILL. By then the listener is
@@ -59,7 +60,7 @@
 		n.forward.RefuseLate(begin.Add(limit - abandonMargin))
 	})
 	defer late.Stop()
-	refuse := time.AfterFunc(limit-refuseMargin, func() {
+	refuse := time.AfterFunc(max(limit-refuseMargin, limit/2), func() {
 		step("refuse_waiting")
 		n.forward.RefuseWaiting()
 	})
--- a/node/stop_late_test.go
+++ b/node/stop_late_test.go
@@ -302,7 +302,7 @@
 // Guards against a planned stop that passes requests on late in the grace time and
 // cuts them at its end, and against requests that were read and get no answer.
 func TestStopAnswersOrRefusesEachRequestItRead(t *testing.T) {
-	for _, limit := range []time.Duration{3 * time.Second, 4 * time.Second, 6 * time.Second, 20 * time.Second} {
+	for _, limit := range []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second, 6 * time.Second, 20 * time.Second} {
 		t.Run(limit.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				lt := newLateTest(t, limit)
