node: a stop logs all its steps again

Operators could see: the log of a short stop lacked its last steps.

Cause: added the step refuse_late, which made nine stop_step lines. The log writes eight lines of one event in a second, and counts the others.

Change: refuse_late is an event of its own.

--- a/node/stop.go
+++ b/node/stop.go
@@ -56,7 +56,8 @@
 		Int64("answers_dropped", n.answersDropped.Load()).Send()
 	n.ingress.Drain()
 	late := time.AfterFunc(min(lateDelay, limit/2), func() {
-		step("refuse_late")
+		// It has an event of its own: the log bounds the lines of one event.
+		n.log.Event("refuse_late").Dur("elapsed_ms", time.Since(begin)).Send()
 		n.forward.RefuseLate(begin.Add(limit - abandonMargin))
 	})
 	defer late.Stop()
