node: a stop abandons attempts in the last sixth of a short grace time

Callers could see: with a grace time below 3.6 s, a request whose server was still at work was answered 502 earlier than the platform allows: 2.4 s after SIGTERM instead of 2.5 s with a grace time of 3 s.

Cause: attempts are abandoned a fixed 0.6 s before SIGKILL.

Evidence: TestStopAnswersOrRefusesEachRequestItRead/3s failed with the new check and without the change: "2.4s" is not greater than or equal to "2.5s", cut before the last sixth of the grace time: w head 1 of 10, work 1h0m0s, deadline 10s

Change: they are abandoned at five sixths of the grace time, if 0.15 s are left to deliver the answers behind them; with 3.6 s or more nothing changes.

Not covered: a grace time below 3 s, whose last sixth is shorter than the last steps of the process (0.35 s) and those 0.15 s. At 2 s it is 1.5 s.

--- a/node/stop.go
+++ b/node/stop.go
@@ -17,6 +17,8 @@
 	// a server are answered with an unknown outcome. The answers that wait behind
 	// them on their connections are delivered in the time until killMargin.
 	abandonMargin = 600 * time.Millisecond
+	// deliverTime is the least time that is left for that.
+	deliverTime = 150 * time.Millisecond
 	// refuseMargin is the time before SIGKILL at which requests that still wait
 	// for a server are refused, so that their callers get a response. In a short
 	// grace time they are refused at its half.
@@ -58,7 +60,7 @@
 	late := time.AfterFunc(min(lateDelay, limit/2), func() {
 		// It has an event of its own: the log bounds the lines of one event.
 		n.log.Event("refuse_late").Dur("elapsed_ms", time.Since(begin)).Send()
-		n.forward.RefuseLate(begin.Add(limit - abandonMargin))
+		n.forward.RefuseLate(begin.Add(abandonAt(limit)))
 	})
 	defer late.Stop()
 	refuse := time.AfterFunc(max(limit-refuseMargin, limit/2), func() {
@@ -66,7 +68,7 @@
 		n.forward.RefuseWaiting()
 	})
 	defer refuse.Stop()
-	abandon := time.AfterFunc(limit-abandonMargin, func() {
+	abandon := time.AfterFunc(abandonAt(limit), func() {
 		step("abandon_attempts")
 		n.forward.AbandonAttempts()
 	})
@@ -101,6 +103,13 @@
 	})
 }
 
+// abandonAt returns the time after SIGTERM at which attempts are abandoned: in the last
+// sixth of the grace time, in which the platform allows that, or as late as
+// deliverTime permits if the grace time is too short for that.
+func abandonAt(limit time.Duration) time.Duration {
+	return max(limit-abandonMargin, min(limit*5/6, limit-killMargin-deliverTime))
+}
+
 // stopAccepting closes the listener after it has accepted the connections that
 // wait in its queue.
 func (n *Node) stopAccepting(ctx context.Context) {
--- a/node/stop_late_test.go
+++ b/node/stop_late_test.go
@@ -337,6 +337,9 @@
 		require.False(t, lt.began.Add(answer.at).Before(lt.deadlines[id]), id)
 	case http.StatusBadGateway:
 		require.False(t, handled.After(late), "passed on and cut although it was read late: %s", id)
+		if lt.limit >= 3*time.Second {
+			require.GreaterOrEqual(t, answer.at, lt.limit*5/6, "cut before the last sixth of the grace time: %s", id)
+		}
 		if r.kind == "w" {
 			require.False(t, received.After(late), "passed on late and cut: %s", id)
 		}
