gateway: a shutdown refuses requests that may outlast it

Callers could see: a request that was read during a shutdown and whose time limit is longer than what is left of the shutdown (90 s in the daemon; a route may allow up to 1 h) was run, and its connection cut at the end with no answer.

Cause: requests that arrive while the gateway drains were run whatever their time limit.

Evidence: TestShutdownRefusesRequestThatMayOutlastIt failed before: expected: 503 actual: 200 (a request with 60 s, read 3 s into a shutdown of 60 s, was run)

Change: while it shuts down, the gateway refuses (503 shutting_down, Retry-After, Connection: close) a request whose deadline, and the time to write its answer, lie beyond the deadline of Shutdown.

Why it works: what is run during a shutdown ends by its own deadline first. With the default limits (60 s) nothing is refused in the daemon.

Not covered: a request with such a limit that began before the shutdown is still cut at its end.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -41,6 +41,9 @@
 		return err
 	}
 	deadline := x.start.Add(x.timeout)
+	if end := x.g.shutdownEnd.Load(); end != nil && deadline.Add(responseWriteGrace).After(*end) {
+		return errkind.New(errkind.ShuttingDown, "this VM is stopping, possibly before the request's deadline")
+	}
 	ctx, cancel := context.WithDeadline(x.r.Context(), deadline)
 	defer cancel()
 	_ = x.control.SetWriteDeadline(deadline.Add(responseWriteGrace))
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -40,9 +40,11 @@
 	successLog zerolog.Logger
 	refusalLog zerolog.Logger
 	draining   atomic.Bool
-	inFlight   atomic.Int64
-	conns      atomic.Int64
-	tracker    connTracker
+	// shutdownEnd is the deadline of Shutdown, nil before it and without one.
+	shutdownEnd atomic.Pointer[time.Time]
+	inFlight    atomic.Int64
+	conns       atomic.Int64
+	tracker     connTracker
 }
 
 // New returns a Gateway. All interfaces of cfg must be set.
@@ -122,8 +124,11 @@
 // returns 503 and each response closes its connection. Once no connection is
 // left or DrainTimeout has passed, Shutdown closes listeners and idle
 // connections and waits until the requests in flight, and those being read, have
-// ended or ctx is done.
+// ended or ctx is done. It refuses new requests that may outlast the deadline of ctx.
 func (g *Gateway) Shutdown(ctx context.Context) error {
+	if end, ok := ctx.Deadline(); ok {
+		g.shutdownEnd.Store(&end)
+	}
 	g.draining.Store(true)
 	drained := time.NewTimer(g.cfg.DrainTimeout)
 	defer drained.Stop()
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -140,6 +140,35 @@
 	}
 }
 
+// Guards against a stop that runs a request which it may have to cut at its end.
+func TestShutdownRefusesRequestThatMayOutlastIt(t *testing.T) {
+	for timeout, status := range map[string]int{"10000": http.StatusOK, "60000": http.StatusServiceUnavailable} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newStopTest(t)
+			text := strings.Replace(gatewayPost("/images/2"), "\r\n", "\r\n"+call.HeaderTimeoutMS+": "+timeout+"\r\n", 1)
+			s.send(t, text[:20])
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			go func() { defer close(s.stopped); s.err = s.gateway.Shutdown(ctx) }()
+			time.Sleep(drainTimeout + time.Second)
+			s.proceed <- struct{}{}
+			s.send(t, text[20:])
+			resp, err := http.ReadResponse(s.br, nil)
+			require.NoError(t, err)
+			require.Equal(t, status, resp.StatusCode)
+			require.True(t, resp.Close)
+			require.Equal(t, status == http.StatusOK, len(s.requests) == 1, "a refused request does not run")
+			if status != http.StatusOK {
+				require.NotEmpty(t, resp.Header.Get("Retry-After"))
+			}
+			_, err = io.Copy(io.Discard, resp.Body)
+			require.NoError(t, err)
+			<-s.stopped
+			require.NoError(t, s.err)
+		})
+	}
+}
+
 // Guards against a stop that waits for idle connections, or without a bound for the
 // rest of a request.
 func TestShutdownIsBounded(t *testing.T) {
