node: the test of late requests covers uploads

A body of more than 64 KiB is passed on while it arrives, so its request is at its server before it was read.

--- a/node/stop_late_test.go
+++ b/node/stop_late_test.go
@@ -207,8 +207,10 @@
 		time.Sleep(time.Until(lt.at(r.tenth)))
 		lt.write(nc, r, 0, 0, 0)
 	},
-	"head":       func(lt *lateTest, r lateRequest, nc net.Conn) { lt.write(nc, r, 0, 10, 0) },
-	"body":       func(lt *lateTest, r lateRequest, nc net.Conn) { lt.write(nc, r, 0, -50, 100) },
+	"head": func(lt *lateTest, r lateRequest, nc net.Conn) { lt.write(nc, r, 0, 10, 0) },
+	"body": func(lt *lateTest, r lateRequest, nc net.Conn) { lt.write(nc, r, 0, -50, 100) },
+	// A body of this length is passed on while it arrives.
+	"upload":     func(lt *lateTest, r lateRequest, nc net.Conn) { lt.write(nc, r, 0, -50, 100_000) },
 	"slot":       func(lt *lateTest, r lateRequest, nc net.Conn) { lt.write(nc, r, r.tenth, 0, 0) },
 	"connection": func(lt *lateTest, r lateRequest, nc net.Conn) { lt.write(nc, r, 0, 0, 0) },
 	// The last answer before it is complete 50 ms after the request was sent.
