--- a/egress/egress.go
+++ b/egress/egress.go
@@ -89,6 +89,9 @@
 	// Deadline is when the server is to stop working on the request. It is sent
 	// as the remaining time.
 	Deadline time.Time
+	// BeforeWrite, unless nil, is called right before the first byte is written. Its
+	// error prevents that and becomes the cause of the failure.
+	BeforeWrite func() error
 }
 
 // Response is the response of a backend server. The receiver must close Body.
@@ -158,7 +161,9 @@
 	// OnNotice, unless nil, is called with each notice of a server. It must not
 	// block.
 	OnNotice func(topo.Incarnation, Notice)
-	dialer   net.Dialer
+	// Dial, unless nil, opens the connections in place of a net.Dialer.
+	Dial   func(ctx context.Context, network, addr string) (net.Conn, error)
+	dialer net.Dialer
 
 	mu   sync.Mutex
 	idle map[topo.Incarnation][]*conn
@@ -218,7 +223,11 @@
 	}
 	c.open[target.Incarnation]++
 	c.mu.Unlock()
-	nc, err := c.dialer.DialContext(ctx, "tcp", target.Addr)
+	dial := c.dialer.DialContext
+	if c.Dial != nil {
+		dial = c.Dial
+	}
+	nc, err := dial(ctx, "tcp", target.Addr)
 	if err != nil {
 		c.connClosed(target.Incarnation)
 		return nil, err
