node: keep evacuations that a restored store has lost

After the store came back from a copy that is older than an evacuation, the data centre took requests again until the operator had written the evacuation once more (EVAC, where its bound had passed). The listing of the restored store replaced what was known.

The watcher keeps evacuations that are missing from a listing of a new era for the grace time, unless they are written and lifted again in it. It takes them from the directory, so that this holds also on a VM that begins to read the store only then. One that the operator had lifted and the copy still has is in force until it is lifted again.

Without the change TestEvacuationIsKeptForTheGraceTimeAfterARestore fails at the listing after the restore: "elements differ, extra elements in list A: e/lost" and the others.

--- a/node/era_test.go
+++ b/node/era_test.go
@@ -8,7 +8,9 @@
 	"github.com/stretchr/testify/require"
 
 	"godwitlock.example/godwitlock/declog"
+	"godwitlock.example/godwitlock/directory"
 	"godwitlock.example/godwitlock/routemap"
+	"godwitlock.example/godwitlock/store"
 	"godwitlock.example/godwitlock/topo"
 	"godwitlock.example/godwitlock/view"
 )
@@ -93,3 +95,50 @@
 	require.Equal(t, settled.UnixNano(), n.view.Confirmed().UnixNano())
 	require.Equal(t, watchTimeout, w.waitLimit())
 }
+
+// Guards against new requests to a data centre out of service because the store came
+// back from a copy that is older than its evacuation, and against keeping it out of
+// service for good.
+func TestEvacuationIsKeptForTheGraceTimeAfterARestore(t *testing.T) {
+	w, n, st := newWatcher(t, "evacuations")
+	ctx := t.Context()
+	earlier := st.Copy()
+	for _, name := range []string{"again", "lifted", "lost"} {
+		_, err := st.Put(ctx, "e/"+name, nil, store.MustNotExist, "w")
+		require.NoError(t, err)
+	}
+	evacuated := func() (names []string) {
+		n.view.Directory(func(d *directory.Directory) {
+			for _, name := range d.Evacuated() {
+				names = append(names, string(name))
+			}
+		})
+		return names
+	}
+	list := func() topo.Revision {
+		rev, err := w.list(ctx)
+		require.NoError(t, err)
+		w.recordSuccess(bootNow(), rev)
+		return rev
+	}
+	list()
+	st.Restore(earlier)
+	rev := list()
+	require.ElementsMatch(t, []string{"e/again", "e/lifted", "e/lost"}, evacuated())
+
+	for _, name := range []string{"again", "lifted"} {
+		_, err := st.Put(ctx, "e/"+name, nil, store.MustNotExist, "w")
+		require.NoError(t, err)
+	}
+	o, err := st.Get(ctx, "e/lifted")
+	require.NoError(t, err)
+	require.NoError(t, st.Delete(ctx, "e/lifted", o.Version, "w"))
+	rev, err = w.watch(ctx, rev)
+	require.NoError(t, err)
+	w.recordSuccess(bootNow(), rev)
+	require.ElementsMatch(t, []string{"e/again", "e/lost"}, evacuated())
+
+	e := &evacuations{node: n, listed: map[topo.DataCentreName]bool{"e/again": true}, kept: map[topo.DataCentreName]time.Time{"e/lost": bootNow()}}
+	e.apply(rev, bootNow())
+	require.Equal(t, []string{"e/again"}, evacuated())
+}
--- a/node/watch.go
+++ b/node/watch.go
@@ -228,35 +228,6 @@
 	return minWatchPause + time.Duration(len(n.view.Snapshot().Members))*watchPausePerVM
 }
 
-func (n *Node) evacuationWatcher(prefix string) *watcher {
-	evacuated := make(map[topo.DataCentreName]bool)
-	return &watcher{
-		name: "evacuations", prefix: prefix,
-		applyListing: func(l store.Listing, _ time.Time) {
-			clear(evacuated)
-			for _, o := range l.Objects {
-				evacuated[topo.DataCentreName(n.platform.Name(o.Key))] = true
-			}
-		},
-		applyEvent: func(e store.Event, _ time.Time) {
-			name := topo.DataCentreName(n.platform.Name(e.Key))
-			revision(n.log.Event("data_centre").Str("data_centre", string(name)).Bool("in_service", e.Deleted), e.Revision).Send()
-			if e.Deleted {
-				delete(evacuated, name)
-			} else {
-				evacuated[name] = true
-			}
-		},
-		advance: func(rev topo.Revision, _ time.Time) {
-			names := make([]topo.DataCentreName, 0, len(evacuated))
-			for name := range evacuated {
-				names = append(names, name)
-			}
-			n.view.Directory(func(d *directory.Directory) { d.SetEvacuated(names, int64(rev)) })
-		},
-	}
-}
-
 // applyConfigObject puts the configuration in force if o is the configuration
 // object. Invalid configurations are logged and ignored.
 func (n *Node) applyConfigObject(o store.Object) {
