node: log the entries that are older because the store went back

Nothing in the log told that the entry of a server in the restored store was older than the one known and was not used.

The event server_older names such an entry: one of the same incarnation with a lower count of its server's writes, or one of a server that was removed. Entries that are unchanged in the copy are not logged.

Without the event TestOlderEntryOfARestoredStoreIsLogged fails: "[]" should have 1 item(s), but has 0.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -157,20 +157,17 @@
 	if s.Rev <= removed.rev {
 		return
 	}
-	if old != nil && old.entryState(old.Rev).supersedes(&s) {
+	superseded := d.superseded(&s)
+	switch {
+	case superseded && old != nil:
 		delete(d.lapsed, s.ID)
-		return
-	}
-	if old == nil && removed.last.supersedes(&s) {
-		if removed.last.leaving {
-			return
-		}
-		if s.SeenAt.Before(d.graceUntil) {
-			d.doubtful[s.ID] = s
-			return
-		}
+	case superseded && removed.last.leaving:
+		// Leaving is final for an incarnation.
+	case superseded && s.SeenAt.Before(d.graceUntil):
+		d.doubtful[s.ID] = s
+	default:
+		d.putNow(s)
 	}
-	d.putNow(s)
 }
 
 // putNow adds or replaces an entry.
--- a/directory/era.go
+++ b/directory/era.go
@@ -31,6 +31,21 @@
 	return s.Seq <= e.seq || e.leaving && s.State != Leaving
 }
 
+// Older reports whether an entry is older than what is known of the server, although
+// its revision is higher, because the store came back from an older copy.
+func (d *Directory) Older(s *Server) bool {
+	old := d.servers[s.ID]
+	return d.superseded(s) && (old == nil || old.Seq != s.Seq)
+}
+
+// superseded reports whether an entry is Older, or the one known.
+func (d *Directory) superseded(s *Server) bool {
+	if old := d.servers[s.ID]; old != nil {
+		return old.entryState(old.Rev).supersedes(s)
+	}
+	return d.removed[s.ID].last.supersedes(s)
+}
+
 // BeginEra starts the grace time if rev is of a later era of the store than the
 // revision up to which the servers are known: servers whose entries the store has
 // lost write them again.
--- a/node/watch.go
+++ b/node/watch.go
@@ -249,7 +249,12 @@
 		}
 		list = append(list, s)
 	}
-	n.view.Directory(func(d *directory.Directory) { d.Replace(list, int64(l.Revision), now) })
+	n.view.Directory(func(d *directory.Directory) {
+		for _, s := range list {
+			n.logIfOlder(d, s)
+		}
+		d.Replace(list, int64(l.Revision), now)
+	})
 }
 
 func (n *Node) changeServer(e store.Event, now time.Time) {
@@ -269,5 +274,19 @@
 	line := n.log.Event("server").Str("server", string(id)).Str("service", string(s.Service)).Uint8("state", uint8(s.State)).
 		Int64("born", s.StartedAtMs).Dur("cold_ms", s.ColdFor)
 	revision(line, e.Revision).Send()
-	n.view.Directory(func(d *directory.Directory) { d.Put(s) })
+	n.view.Directory(func(d *directory.Directory) {
+		n.logIfOlder(d, s)
+		d.Put(s)
+	})
+}
+
+// logIfOlder logs an entry that is older than what is known, because the store
+// came back from an older copy.
+func (n *Node) logIfOlder(d *directory.Directory, s directory.Server) {
+	if !d.Older(&s) {
+		return
+	}
+	line := n.log.Event("server_older").Str("server", string(s.ID)).Uint8("state", uint8(s.State)).
+		Int64("born", s.StartedAtMs).Int64("seq", s.Seq)
+	revision(line, topo.Revision(s.Rev)).Send()
 }
--- a/node/watch_test.go
+++ b/node/watch_test.go
@@ -17,7 +17,8 @@
 	"godwitlock.example/godwitlock/view"
 )
 
-// serverPlatform is a Platform whose servers' entries are empty.
+// serverPlatform is a Platform whose servers' entries have as many bytes as they were
+// written times before.
 type serverPlatform struct{ memPlatform }
 
 func (serverPlatform) Prefixes() Prefixes {
@@ -25,7 +26,9 @@
 }
 
 func (serverPlatform) DecodeServer(o store.Object, _ time.Time) (directory.Server, error) {
-	return directory.Server{ID: topo.ServerID(o.Key), State: directory.Ready, StartedAtMs: 1, Rev: int64(o.Revision)}, nil
+	return directory.Server{
+		ID: topo.ServerID(o.Key), State: directory.Ready, StartedAtMs: 1, Seq: int64(len(o.Value)), Rev: int64(o.Revision),
+	}, nil
 }
 
 // newWatcher returns a watcher of a node that needs the store, and that store.
@@ -110,3 +113,31 @@
 	cancel()
 	require.ErrorIs(t, <-done, context.Canceled)
 }
+
+// Guards against a log that does not tell which entries are older because the store
+// came back from an older copy.
+func TestOlderEntryOfARestoredStoreIsLogged(t *testing.T) {
+	w, n, st := newWatcher(t, "servers")
+	var out bytes.Buffer
+	n.log = declog.New(&out, "a")
+	ctx := t.Context()
+	a, err := st.Put(ctx, "s/a", []byte("1"), store.MustNotExist, "w")
+	require.NoError(t, err)
+	_, err = st.Put(ctx, "s/b", []byte("1"), store.MustNotExist, "w")
+	require.NoError(t, err)
+	earlier := st.Copy()
+	_, err = st.Put(ctx, "s/a", []byte("22"), a.Version, "w")
+	require.NoError(t, err)
+	rev, err := w.list(ctx)
+	require.NoError(t, err)
+	w.recordSuccess(bootNow(), rev)
+	require.Empty(t, logLines(t, n.log, &out, "server_older"))
+	st.Restore(earlier)
+	_, err = w.list(ctx)
+	require.NoError(t, err)
+	lines := logLines(t, n.log, &out, "server_older")
+	require.Len(t, lines, 1, "the entry of s/b is the one known")
+	require.Equal(t, "s/a", lines[0]["server"])
+	require.Equal(t, 1.0, lines[0]["seq"])
+	require.Equal(t, 1.0, lines[0]["era"])
+}
