node: never ask the store for a watch without a wait

The watch that confirms the configuration after a restore asked for a wait of 0 ms. The platform documents waitMs as whole milliseconds and does not say what 0 means; a store that took it for no limit would let the call time out, and the confirmation would lapse. The shortest wait is 1 ms now. No such store was seen.

The test requires it; without the change it fails with "expected: 1ms, actual: 0s".

--- a/node/era.go
+++ b/node/era.go
@@ -58,7 +58,7 @@
 	if !confirmed.Before(s.settled) {
 		return watchTimeout
 	}
-	return min(max(s.settled.Sub(now), 0), watchTimeout)
+	return min(max(s.settled.Sub(now), time.Millisecond), watchTimeout)
 }
 
 // recordStoreEra records the era of the store and logs each change.
--- a/node/era_test.go
+++ b/node/era_test.go
@@ -90,7 +90,7 @@
 
 	settled := n.storeEra.settled
 	require.Equal(t, time.Millisecond, n.storeEra.watchLimit(settled.Add(-time.Millisecond), before))
-	require.Zero(t, n.storeEra.watchLimit(settled.Add(time.Millisecond), before), "the next read can confirm it")
+	require.Equal(t, time.Millisecond, n.storeEra.watchLimit(settled.Add(time.Second), before), "the next read can confirm it")
 	w.recordSuccess(settled, topo.RevisionOf(1, 50))
 	require.Equal(t, settled.UnixNano(), n.view.Confirmed().UnixNano())
 	require.Equal(t, watchTimeout, w.waitLimit())
