--- a/node/watch.go
+++ b/node/watch.go
@@ -228,35 +228,6 @@
 	return minWatchPause + time.Duration(len(n.view.Snapshot().Members))*watchPausePerVM
 }
 
-func (n *Node) evacuationWatcher(prefix string) *watcher {
-	evacuated := make(map[topo.DataCentreName]bool)
-	return &watcher{
-		name: "evacuations", prefix: prefix,
-		applyListing: func(l store.Listing, _ time.Time) {
-			clear(evacuated)
-			for _, o := range l.Objects {
-				evacuated[topo.DataCentreName(n.platform.Name(o.Key))] = true
-			}
-		},
-		applyEvent: func(e store.Event, _ time.Time) {
-			name := topo.DataCentreName(n.platform.Name(e.Key))
-			revision(n.log.Event("data_centre").Str("data_centre", string(name)).Bool("in_service", e.Deleted), e.Revision).Send()
-			if e.Deleted {
-				delete(evacuated, name)
-			} else {
-				evacuated[name] = true
-			}
-		},
-		advance: func(rev topo.Revision, _ time.Time) {
-			names := make([]topo.DataCentreName, 0, len(evacuated))
-			for name := range evacuated {
-				names = append(names, name)
-			}
-			n.view.Directory(func(d *directory.Directory) { d.SetEvacuated(names, int64(rev)) })
-		},
-	}
-}
-
 // applyConfigObject puts the configuration in force if o is the configuration
 // object. Invalid configurations are logged and ignored.
 func (n *Node) applyConfigObject(o store.Object) {
@@ -278,7 +249,12 @@
 		}
 		list = append(list, s)
 	}
-	n.view.Directory(func(d *directory.Directory) { d.Replace(list, int64(l.Revision), now) })
+	n.view.Directory(func(d *directory.Directory) {
+		for _, s := range list {
+			n.logIfOlder(d, s)
+		}
+		d.Replace(list, int64(l.Revision), now)
+	})
 }
 
 func (n *Node) changeServer(e store.Event, now time.Time) {
@@ -298,5 +274,19 @@
 	line := n.log.Event("server").Str("server", string(id)).Str("service", string(s.Service)).Uint8("state", uint8(s.State)).
 		Int64("born", s.StartedAtMs).Dur("cold_ms", s.ColdFor)
 	revision(line, e.Revision).Send()
-	n.view.Directory(func(d *directory.Directory) { d.Put(s) })
+	n.view.Directory(func(d *directory.Directory) {
+		n.logIfOlder(d, s)
+		d.Put(s)
+	})
+}
+
+// logIfOlder logs an entry that is older than what is known, because the store
+// came back from an older copy.
+func (n *Node) logIfOlder(d *directory.Directory, s directory.Server) {
+	if !d.Older(&s) {
+		return
+	}
+	line := n.log.Event("server_older").Str("server", string(s.ID)).Uint8("state", uint8(s.State)).
+		Int64("born", s.StartedAtMs).Int64("seq", s.Seq)
+	revision(line, topo.Revision(s.Rev)).Send()
 }
