node: a VM that cannot accept connections says that it is not ready

Cause: ready asked only for the configuration and a stop.

Evidence, without the change: TestReadyOnlyWhileAccepting: "Should be false ... the accept loop does not run".

Change: ready is false once connections could not be accepted for 300 ms, because Accept fails or the accept loop does not run.

Why it works: the platform asks once per second and takes a VM out after two misses. A VM that is out gets no connections, so accepting counts as working again as soon as Accept waits without an error; the test shows the return without a connection.

--- a/ingress/accept.go
+++ b/ingress/accept.go
@@ -29,9 +29,14 @@
 // StopAccepting. It returns the error of Accept. After other errors of Accept it
 // goes on.
 func (s *Server) Serve(lis net.Listener) error {
-	lis = accept.Of(lis)
+	acceptor := accept.Of(lis)
+	lis = acceptor
+	s.acceptor.Store(acceptor)
 	s.serving.Add(1)
-	defer s.serving.Add(-1)
+	defer func() {
+		s.servedUntil.Store(time.Now().UnixNano())
+		s.serving.Add(-1)
+	}()
 	lastCall := false
 	for {
 		nc, err := lis.Accept()
@@ -88,6 +93,15 @@
 	}
 }
 
+// NotAcceptingFor returns the time for which no connection could be accepted, 0 if
+// accepting works.
+func (s *Server) NotAcceptingFor() time.Duration {
+	if !s.Accepting() {
+		return time.Since(time.Unix(0, s.servedUntil.Load()))
+	}
+	return s.acceptor.Load().FailingFor()
+}
+
 // Accepting reports whether a call of Serve has not returned. Until then, a
 // connection that was accepted may not be among the open ones yet.
 func (s *Server) Accepting() bool { return s.serving.Load() > 0 }
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -14,6 +14,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"godwitlock.example/godwitlock/accept"
 )
 
 // Headers holds the names of the header fields that callers and godwitlock
@@ -111,6 +113,10 @@
 
 	// serving counts the running calls of Serve.
 	serving atomic.Int32
+	// servedUntil is when Serve returned, or when the server was created, in Unix
+	// nanoseconds.
+	servedUntil atomic.Int64
+	acceptor    atomic.Pointer[accept.Listener]
 	// acceptQuiet is set by StopAccepting, in nanoseconds.
 	acceptQuiet atomic.Int64
 
@@ -122,7 +128,9 @@
 // NewServer returns a server that passes requests to handler. It calls limits
 // for each request; fields that are zero are replaced by defaults.
 func NewServer(h Headers, handler Handler, limits func() Limits) *Server {
-	return &Server{headers: h, handler: handler, limits: limits, conns: make(map[*conn]struct{})}
+	s := &Server{headers: h, handler: handler, limits: limits, conns: make(map[*conn]struct{})}
+	s.servedUntil.Store(time.Now().UnixNano())
+	return s
 }
 
 // Drain closes each connection after the last response that it owes: to requests
--- a/node/connections.go
+++ b/node/connections.go
@@ -17,6 +17,10 @@
 // connections.
 const connLogInterval = 10 * time.Second
 
+// acceptTolerance is how long a VM may be unable to accept connections before it says
+// that it is not ready.
+const acceptTolerance = 300 * time.Millisecond
+
 // openFilesDir has an entry for each open file descriptor of the process.
 const openFilesDir = "/proc/self/fd"
 
--- a/node/connections_test.go
+++ b/node/connections_test.go
@@ -6,15 +6,20 @@
 	"net"
 	"os"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"godwitlock.example/godwitlock/egress"
 	"godwitlock.example/godwitlock/ingress"
+	"godwitlock.example/godwitlock/internal/pipe"
+	"godwitlock.example/godwitlock/routemap"
 	"godwitlock.example/godwitlock/topo"
+	"godwitlock.example/godwitlock/view"
 )
 
 // failNTimes fails the given number of calls of Accept.
@@ -93,3 +98,57 @@
 	(&connLog{}).tick(n)
 	require.Equal(t, 1.0, logLines(t, n.log, out, "connections")[0]["from_vms"])
 }
+
+// Guards against a VM that says ready while it accepts no connection, and against
+// one that never says so again.
+func TestReadyOnlyWhileAccepting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &Node{view: view.New(), ingress: ingress.NewServer(ingress.Headers{}, nil, nil)}
+		b := DefaultBounds()
+		n.activeBounds.Store(&b)
+		require.True(t, n.view.SetConfig(&routemap.Map{}, nil, 1))
+		ready := func() bool { n.view.Confirm(bootNow()); return n.ready() }
+		time.Sleep(acceptTolerance)
+		require.False(t, ready(), "the accept loop does not run")
+
+		lis := &switchListener{Listener: pipe.Listen()}
+		go func() { _ = n.ingress.Serve(lis) }()
+		synctest.Wait()
+		require.True(t, ready())
+
+		lis.broken.Store(true)
+		_, err := lis.Listener.(*pipe.Listener).Dial(t.Context(), "", "")
+		require.NoError(t, err)
+		synctest.Wait()
+		require.True(t, ready(), "a short failure does not count")
+		time.Sleep(acceptTolerance)
+		require.False(t, ready(), "accepting fails")
+
+		lis.broken.Store(false)
+		time.Sleep(time.Second)
+		require.True(t, ready(), "accepting works, and no connection has arrived")
+
+		_ = lis.Close()
+		synctest.Wait()
+		time.Sleep(acceptTolerance)
+		require.False(t, ready(), "the accept loop has ended")
+	})
+}
+
+// switchListener fails to accept while broken is set.
+type switchListener struct {
+	net.Listener
+	broken atomic.Bool
+}
+
+func (l *switchListener) Accept() (net.Conn, error) {
+	if l.broken.Load() {
+		return nil, os.NewSyscallError("accept4", syscall.EMFILE)
+	}
+	nc, err := l.Listener.Accept()
+	if l.broken.Load() && err == nil {
+		_ = nc.Close()
+		return nil, os.NewSyscallError("accept4", syscall.EMFILE)
+	}
+	return nc, err
+}
--- a/node/node.go
+++ b/node/node.go
@@ -345,7 +345,8 @@
 
 // ready reports whether this VM should receive new callers.
 func (n *Node) ready() bool {
-	return !n.stopping.Load() && n.view.Snapshot().Routes != nil && n.configFresh()
+	return !n.stopping.Load() && n.view.Snapshot().Routes != nil && n.configFresh() &&
+		n.ingress.NotAcceptingFor() < acceptTolerance
 }
 
 func (n *Node) readyMux() *http.ServeMux {
