ingress, node: callers' connections leave descriptors for all others

Cause: nothing bounded callers' connections; limits.maxFds was read and not used.

Change: the bound is what limits.maxFds leaves after 200 descriptors of the platform, 64 of the process, 2 per VM and a share for servers: a quarter of the rest, or the open connections to servers and an eighth, if that is more. Above three quarters of it each new connection closes the one that has been idle longest, if for 1 s; above seven eighths answers close their connections; at the bound idle ones are closed whatever their age, and if there is none, further connections wait in the listener's queue and the VM is not ready after 300 ms.

Why it works: idle connections are in a list in the order in which they became idle, so each step is O(1). They are closed as CloseIdle does: what owes an answer stays, and a request that crosses the close is not read. Connections that are closing count towards the bound until their descriptor is free.

--- a/ingress/accept.go
+++ b/ingress/accept.go
@@ -39,6 +39,7 @@
 	}()
 	lastCall := false
 	for {
+		s.awaitRoom()
 		nc, err := lis.Accept()
 		if err == nil {
 			lastCall = false
@@ -65,6 +66,10 @@
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
+	s.openCount.Add(1)
+	if s.above(evictFraction) {
+		s.closeLongestIdle(evictAfter)
+	}
 	s.wg.Add(1)
 	go func() {
 		defer s.wg.Done()
@@ -72,6 +77,14 @@
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
+		s.openCount.Add(-1)
+		if c.evicted.Load() {
+			s.bound.evicted.Add(-1)
+		}
+		select {
+		case s.bound.ended <- struct{}{}:
+		default:
+		}
 	}()
 }
 
@@ -99,6 +112,9 @@
 	if !s.Accepting() {
 		return time.Since(time.Unix(0, s.servedUntil.Load()))
 	}
+	if since := s.bound.fullSince.Load(); since != 0 {
+		return time.Since(time.Unix(0, since))
+	}
 	return s.acceptor.Load().FailingFor()
 }
 
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"container/list"
 	"context"
 	"io"
 	"net"
@@ -72,6 +73,11 @@
 	// lastWrite is the time of the last response, or of accepting the
 	// connection before the first one, in Unix nanoseconds.
 	lastWrite atomic.Int64
+	// idleElement is the place in the server's list of idle connections, which
+	// guards it.
+	idleElement *list.Element
+	// evicted is set when the connection was closed for another one.
+	evicted atomic.Bool
 }
 
 // pendingResponse holds the place of a response in the order of the requests.
@@ -121,6 +127,7 @@
 		pending: make(chan *pendingResponse, maxPipelined), writerDone: make(chan struct{}),
 	}
 	c.lastWrite.Store(time.Now().UnixNano())
+	c.state.onIdle = func(idle bool) { s.bound.idle.set(c, idle) }
 	return c
 }
 
@@ -131,6 +138,7 @@
 func (c *conn) serve() {
 	go c.writeLoop()
 	callerGone := c.readLoop()
+	c.state.stopWaiting()
 	close(c.pending)
 	if callerGone != nil {
 		c.cancel(&ConnectionEnd{Cause: CallerDisconnected, Err: callerGone})
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -110,6 +110,12 @@
 	// although it had received bytes which it did not read as a request. It must
 	// not block, and must be set before Serve.
 	OnUnread func(Unread)
+	// MaxConnections, unless nil, returns the bound of the open connections, 0 for
+	// none. At the bound, further ones wait in the queue of the listener. It must be
+	// set before Serve.
+	MaxConnections func() int
+	openCount      atomic.Int64
+	bound          bound
 
 	// serving counts the running calls of Serve.
 	serving atomic.Int32
@@ -128,7 +134,7 @@
 // NewServer returns a server that passes requests to handler. It calls limits
 // for each request; fields that are zero are replaced by defaults.
 func NewServer(h Headers, handler Handler, limits func() Limits) *Server {
-	s := &Server{headers: h, handler: handler, limits: limits, conns: make(map[*conn]struct{})}
+	s := &Server{headers: h, handler: handler, limits: limits, conns: make(map[*conn]struct{}), bound: bound{ended: make(chan struct{}, 1)}}
 	s.servedUntil.Store(time.Now().UnixNano())
 	return s
 }
--- a/ingress/state.go
+++ b/ingress/state.go
@@ -30,6 +30,21 @@
 	closing bool
 	// ended says that the last response was chosen, or that writing failed.
 	ended bool
+	// idle says that nothing is owed and that no request is being read. onIdle is
+	// called with each change of it, under mu.
+	idle   bool
+	onIdle func(idle bool)
+}
+
+// update must be called under mu after each change.
+func (s *connState) update() {
+	idle := s.reader == waiting && s.owedLocked() == 0 && !s.ended && !s.closing
+	if idle != s.idle {
+		s.idle = idle
+		if s.onIdle != nil {
+			s.onIdle(idle)
+		}
+	}
 }
 
 // wait records that the read buffer is empty. It returns false, and stops the
@@ -37,6 +52,7 @@
 func (s *connState) wait(draining bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer s.update()
 	s.reader = waiting
 	if s.ended || s.closing || draining && s.unanswered > 0 {
 		s.reader = stopped
@@ -49,6 +65,7 @@
 func (s *connState) beginRead() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer s.update()
 	s.reader = reading
 	if s.ended {
 		s.reader = stopped
@@ -63,6 +80,7 @@
 func (s *connState) start(next readerState, end int64, draining bool) readerState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer s.update()
 	s.unanswered++
 	s.reader = next
 	if next == reading && draining && end >= s.drainedAt {
@@ -77,6 +95,7 @@
 func (s *connState) beginAnswer(mustEnd, shouldEnd bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer s.update()
 	s.unanswered--
 	s.writing = true
 	last := mustEnd || (shouldEnd || s.closing) && s.unanswered == 0 && s.reader != reading
@@ -88,6 +107,7 @@
 func (s *connState) endAnswer() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer s.update()
 	s.writing = false
 }
 
@@ -95,9 +115,20 @@
 func (s *connState) end() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer s.update()
 	s.ended = true
 }
 
+// stopWaiting records that the reader has returned.
+func (s *connState) stopWaiting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	defer s.update()
+	if s.reader == waiting {
+		s.reader = stopped
+	}
+}
+
 // hasEnded reports whether the last response was chosen or writing failed.
 func (s *connState) hasEnded() bool {
 	s.mu.Lock()
@@ -131,12 +162,16 @@
 }
 
 // closeIdle makes an idle connection close and calls interrupt. A request of which
-// bytes were read at the same moment is still answered.
-func (s *connState) closeIdle(interrupt func()) {
+// bytes were read at the same moment is still answered. It reports whether the
+// connection was idle.
+func (s *connState) closeIdle(interrupt func()) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.reader == waiting && s.owedLocked() == 0 {
-		s.closing = true
-		interrupt()
+	defer s.update()
+	if s.reader != waiting || s.owedLocked() > 0 {
+		return false
 	}
+	s.closing = true
+	interrupt()
+	return true
 }
--- a/ingress/write.go
+++ b/ingress/write.go
@@ -24,7 +24,7 @@
 			resp = <-p.response
 			resp.Abort = true
 		}
-		last := c.state.beginAnswer(p.last, c.srv.draining.Load() || resp.CloseDelimited)
+		last := c.state.beginAnswer(p.last, c.srv.draining.Load() || resp.CloseDelimited || c.srv.above(closeFraction))
 		err := c.writeResponse(bw, p, resp, last)
 		var end *ConnectionEnd
 		if err != nil || last {
--- a/node/connections.go
+++ b/node/connections.go
@@ -21,6 +21,36 @@
 // that it is not ready.
 const acceptTolerance = 300 * time.Millisecond
 
+const (
+	// platformFiles is the number of descriptors that the platform reserves, and
+	// ownFiles what the process needs for its listeners, the store and probes.
+	platformFiles, ownFiles = 200, 64
+	// filesPerVM are the connections to and from another VM.
+	filesPerVM = 2
+	// serverShare is the fraction of the other descriptors that is kept for
+	// connections to servers, and serverGrowth the fraction by which their number
+	// may grow between two calls of updateCallerBound.
+	serverShare, serverGrowth = 0.25, 0.125
+	// minCallerBound is the least bound of callers' connections.
+	minCallerBound = 16
+)
+
+// callerBound returns how many callers' connections may be open, 0 for any number, so
+// that descriptors are left for all other connections.
+func callerBound(maxFiles, vms, toServers int) int {
+	if maxFiles <= 0 {
+		return 0
+	}
+	rest := float64(maxFiles - platformFiles - ownFiles - filesPerVM*vms)
+	servers := max(serverShare*rest, float64(toServers)+serverGrowth*rest)
+	return max(minCallerBound, int(rest-servers))
+}
+
+func (n *Node) updateCallerBound() {
+	open, _ := n.egress.Connections()
+	n.callerBound.Store(int64(callerBound(n.settings.MaxFiles, len(n.view.Snapshot().Members), open)))
+}
+
 // openFilesDir has an entry for each open file descriptor of the process.
 const openFilesDir = "/proc/self/fd"
 
@@ -98,6 +128,7 @@
 	} {
 		n.metrics.Gauge(name, func() float64 { return float64(read(n.connCounts())) })
 	}
+	n.metrics.Gauge("caller_connections_bound", func() float64 { return float64(n.callerBound.Load()) })
 	n.metrics.Gauge("open_files", func() float64 { return float64(openFiles()) })
 }
 
--- a/node/connections_test.go
+++ b/node/connections_test.go
@@ -152,3 +152,17 @@
 	}
 	return nc, err
 }
+
+// Guards against callers' connections that leave no descriptor for the store, VMs
+// and servers.
+func TestCallersLeaveDescriptorsForOthers(t *testing.T) {
+	require.Zero(t, callerBound(0, 10, 0), "no limit")
+	for _, vms := range []int{1, 10, 195} {
+		for _, servers := range []int{0, 100, 1000, 2000} {
+			callers := callerBound(4100, vms, servers)
+			require.GreaterOrEqual(t, callers, 500)
+			require.LessOrEqual(t, callers+servers+filesPerVM*vms+platformFiles+ownFiles, 4100-300)
+		}
+	}
+	require.Equal(t, minCallerBound, callerBound(100, 10, 0))
+}
--- a/node/node.go
+++ b/node/node.go
@@ -101,6 +101,8 @@
 	// answersDropped counts the requests whose answer was not delivered.
 	answersDropped atomic.Int64
 	watchers       []*watcher
+	// callerBound is the bound of callers' connections, 0 for none.
+	callerBound atomic.Int64
 
 	callerLis, peerLis, readyLis, metricsLis net.Listener
 }
@@ -163,6 +165,8 @@
 	})
 	n.ingress = ingress.NewServer(n.platform.CallerHeaders(), n.forward.Serve, n.callerLimits)
 	n.ingress.OnAnswerDropped, n.ingress.OnUnread = n.recordDroppedAnswer, n.recordUnread
+	n.ingress.MaxConnections = func() int { return int(n.callerBound.Load()) }
+	n.updateCallerBound()
 	n.grpc = grpc.NewServer(peer.ServerOptions()...)
 	fleetpb.RegisterFleetServer(n.grpc, fleet.NewServer(n.hub, n.broker, n.rates))
 	n.registerGauges()
@@ -337,6 +341,7 @@
 	for ctx.Err() == nil {
 		pause(ctx, sweepInterval)
 		n.egress.Sweep()
+		n.updateCallerBound()
 		conns.tick(n)
 		n.storeCalls.logCounts(n.log)
 	}
