daemon: listeners outlive errors that pass, and a failing task delays only itself

Callers could see: after ENOBUFS or ENOMEM of accept4, a daemon that never accepts again, since net/http and grpc-go end on these errors and close their listener; and after five failures of any task, nothing restarted for 15 s.

The readiness path of this daemon is on the callers' listener, so a daemon that cannot accept does not claim to be ready.

Change: the three listeners are accept.Listeners, the tasks supervised.Tasks.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/thejerf/suture/v4"
 	"google.golang.org/grpc"
 
+	"godwitlock.example/godwitlock/accept"
 	"godwitlock.example/godwitlock/admission"
 	"godwitlock.example/godwitlock/backend"
 	"godwitlock.example/godwitlock/callerkey"
@@ -22,6 +23,7 @@
 	"godwitlock.example/godwitlock/control"
 	"godwitlock.example/godwitlock/gateway"
 	"godwitlock.example/godwitlock/home"
+	"godwitlock.example/godwitlock/internal/supervised"
 	"godwitlock.example/godwitlock/peer"
 	"godwitlock.example/godwitlock/router"
 	"godwitlock.example/godwitlock/settings"
@@ -94,24 +96,30 @@
 	if listen == nil {
 		listen = net.Listen
 	}
-	if d.peerLis, err = listenOn(listen, "peer_addr", d.cfg.PeerAddr); err != nil {
+	if d.peerLis, err = d.listenOn(listen, "peer_addr", d.cfg.PeerAddr); err != nil {
 		return err
 	}
-	if d.callerLis, err = listenOn(listen, "caller_addr", d.cfg.CallerAddr); err != nil {
+	if d.callerLis, err = d.listenOn(listen, "caller_addr", d.cfg.CallerAddr); err != nil {
 		return err
 	}
 	if d.cfg.AdminAddr != "" {
-		d.adminLis, err = listenOn(listen, "admin_addr", d.cfg.AdminAddr)
+		d.adminLis, err = d.listenOn(listen, "admin_addr", d.cfg.AdminAddr)
 	}
 	return err
 }
 
-func listenOn(listen ListenFunc, field, addr string) (net.Listener, error) {
+func (d *Daemon) listenOn(listen ListenFunc, field, addr string) (net.Listener, error) {
 	lis, err := listen("tcp", addr)
 	if err != nil {
 		return nil, errors.Annotatef(err, "%s", field)
 	}
-	return lis, nil
+	return accept.New(lis, func(c accept.Change) {
+		if c.Err != nil {
+			d.log.Error().Str("event", "accept_fails").Str("listener", field).Err(c.Err).Send()
+			return
+		}
+		d.log.Info().Str("event", "accept_works").Str("listener", field).Int("failures", c.Failures).Dur("after_ms", c.After).Send()
+	}), nil
 }
 
 func (d *Daemon) closeListeners() {
@@ -169,12 +177,7 @@
 // flight are not aborted within ShutdownTimeout.
 func (d *Daemon) Run(ctx context.Context) error {
 	defer d.pool.Close()
-	sup := suture.New(string(d.cfg.VM), suture.Spec{EventHook: func(e suture.Event) {
-		d.log.Error().Str("event", "duty_failed").Msg(e.String())
-	}})
-	for _, task := range d.tasks() {
-		sup.Add(task)
-	}
+	sup := d.supervise(d.tasks())
 	// The tasks continue during the shutdown, because requests in flight need
 	// leases.
 	supCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -261,29 +264,36 @@
 	}
 }
 
-// task adapts a function to suture.Service.
+// supervise returns a supervisor of the tasks.
+func (d *Daemon) supervise(tasks []task) *suture.Supervisor {
+	sup := suture.New(string(d.cfg.VM), supervised.Spec(func(e suture.Event) {
+		d.log.Error().Str("event", "duty_failed").Msg(e.String())
+	}))
+	for _, t := range tasks {
+		sup.Add(supervised.Task{Name: t.name, Run: t.run, OnFailure: func(name string, err error, pause time.Duration) {
+			d.log.Error().Str("event", "duty_failed").Str("task", name).Err(err).Dur("pause_ms", pause).Send()
+		}})
+	}
+	return sup
+}
+
+// task is a duty of the process. It runs again when it ends.
 type task struct {
 	name string
 	run  func(context.Context) error
 }
 
-// Serve implements suture.Service.
-func (t task) Serve(ctx context.Context) error { return t.run(ctx) }
-
-// String returns the task's name for logs.
-func (t task) String() string { return t.name }
-
 // tasks returns the tasks that the supervisor runs. Their names appear in the log.
-func (d *Daemon) tasks() []suture.Service {
-	list := []suture.Service{
-		task{"peer service", d.servePeers},
-		task{"front end", d.serveCallers},
-		task{"authority", d.node.RunAuthority},
-		task{"member", d.node.RunHeartbeats},
-		task{"follow", d.node.Follow},
-		task{"register", d.node.Register},
-		task{"draws", d.gate.Run},
-		task{"certificates", d.watchCertificates},
+func (d *Daemon) tasks() []task {
+	list := []task{
+		{"peer service", d.servePeers},
+		{"front end", d.serveCallers},
+		{"authority", d.node.RunAuthority},
+		{"member", d.node.RunHeartbeats},
+		{"follow", d.node.Follow},
+		{"register", d.node.Register},
+		{"draws", d.gate.Run},
+		{"certificates", d.watchCertificates},
 	}
 	if d.adminLis != nil {
 		list = append(list, task{"admin", d.serveAdmin})
