ingress: an evicted connection is counted before it can end

Callers could see: a bound of connections that rises by one with each eviction in which the connection ended at the same moment, until descriptors run out again.

Cause: the connection was marked and counted after it had been interrupted; if it ended in between, the count was never taken back. Introduced with the bound, found by reading.

Evidence, without the change: TestEvictedConnectionsAreCountedBeforeTheyEnd: "Not equal" (0 counted when the connection is interrupted).

Change: it is marked and counted under the lock of its state, before the interrupt. Its reader needs that lock to end.

go test -race of ingress passed.

--- a/ingress/bound.go
+++ b/ingress/bound.go
@@ -79,15 +79,22 @@
 		if time.Since(time.Unix(0, c.lastWrite.Load())) < atLeast {
 			return false
 		}
-		if c.state.closeIdle(c.interrupt) {
-			c.evicted.Store(true)
-			s.bound.evicted.Add(1)
+		// The connection cannot end before it is counted: its reader waits for the
+		// state's lock.
+		if c.state.closeIdle(func() { c.evict(); c.interrupt() }) {
 			return true
 		}
 	}
 	return false
 }
 
+// evict counts the connection as evicted until it ends.
+func (c *conn) evict() {
+	if c.evicted.CompareAndSwap(false, true) {
+		c.srv.bound.evicted.Add(1)
+	}
+}
+
 // awaitRoom waits until fewer connections are open than the bound, or until the
 // server stops accepting.
 func (s *Server) awaitRoom() {
--- a/ingress/bound_test.go
+++ b/ingress/bound_test.go
@@ -139,3 +139,28 @@
 	}
 	return list
 }
+
+// Guards against a connection that ends while it is being evicted and counts as
+// evicted from then on, which would raise the bound.
+func TestEvictedConnectionsAreCountedBeforeTheyEnd(t *testing.T) {
+	s := NewServer(testHeaders, echo, func() Limits { return Limits{} })
+	nc, caller := net.Pipe()
+	defer func() { _ = caller.Close() }()
+	c := newConn(s, &interruptedConn{Conn: nc, interrupted: func() {
+		require.Equal(t, int64(1), s.bound.evicted.Load())
+	}})
+	require.True(t, c.state.wait(false))
+	require.True(t, s.closeLongestIdle(0))
+	require.True(t, c.evicted.Load())
+}
+
+// interruptedConn calls interrupted when a read deadline is set.
+type interruptedConn struct {
+	net.Conn
+	interrupted func()
+}
+
+func (c *interruptedConn) SetReadDeadline(at time.Time) error {
+	c.interrupted()
+	return c.Conn.SetReadDeadline(at)
+}
