daemon: the test of failing tasks writes its log from one goroutine at a time

The new TestFailingTaskDoesNotHoldUpOthers failed in a run of go test -race -count 5 with "race detected during execution of test": two tasks wrote to its buffer, which is not safe for concurrent use.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -36,7 +36,7 @@
 // because the system was short of memory for a moment.
 func TestListenersOutliveErrorsThatPass(t *testing.T) {
 	var out bytes.Buffer
-	d := &Daemon{cfg: &settings.Settings{AdminAddr: "a"}, log: zerolog.New(&out)}
+	d := &Daemon{cfg: &settings.Settings{AdminAddr: "a"}, log: zerolog.New(zerolog.SyncWriter(&out))}
 	var pipes []*pipe.Listener
 	require.NoError(t, d.listen(func(string, string) (net.Listener, error) {
 		pipes = append(pipes, pipe.Listen())
@@ -55,7 +55,7 @@
 func TestFailingTaskDoesNotHoldUpOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var out bytes.Buffer
-		d := &Daemon{cfg: &settings.Settings{}, log: zerolog.New(&out)}
+		d := &Daemon{cfg: &settings.Settings{}, log: zerolog.New(zerolog.SyncWriter(&out))}
 		ctx, cancel := context.WithCancel(context.Background())
 		otherRuns := 0
 		done := d.supervise([]task{
