--- a/ingress/accept.go
+++ b/ingress/accept.go
@@ -29,11 +29,17 @@
 // StopAccepting. It returns the error of Accept. After other errors of Accept it
 // goes on.
 func (s *Server) Serve(lis net.Listener) error {
-	lis = accept.Of(lis)
+	acceptor := accept.Of(lis)
+	lis = acceptor
+	s.acceptor.Store(acceptor)
 	s.serving.Add(1)
-	defer s.serving.Add(-1)
+	defer func() {
+		s.servedUntil.Store(time.Now().UnixNano())
+		s.serving.Add(-1)
+	}()
 	lastCall := false
 	for {
+		s.awaitRoom()
 		nc, err := lis.Accept()
 		if err == nil {
 			lastCall = false
@@ -60,6 +66,10 @@
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
+	s.openCount.Add(1)
+	if s.above(evictFraction) {
+		s.closeLongestIdle(evictAfter)
+	}
 	s.wg.Add(1)
 	go func() {
 		defer s.wg.Done()
@@ -67,6 +77,14 @@
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
+		s.openCount.Add(-1)
+		if c.evicted.Load() {
+			s.bound.evicted.Add(-1)
+		}
+		select {
+		case s.bound.ended <- struct{}{}:
+		default:
+		}
 	}()
 }
 
@@ -88,6 +106,18 @@
 	}
 }
 
+// NotAcceptingFor returns the time for which no connection could be accepted, 0 if
+// accepting works.
+func (s *Server) NotAcceptingFor() time.Duration {
+	if !s.Accepting() {
+		return time.Since(time.Unix(0, s.servedUntil.Load()))
+	}
+	if since := s.bound.fullSince.Load(); since != 0 {
+		return time.Since(time.Unix(0, since))
+	}
+	return s.acceptor.Load().FailingFor()
+}
+
 // Accepting reports whether a call of Serve has not returned. Until then, a
 // connection that was accepted may not be among the open ones yet.
 func (s *Server) Accepting() bool { return s.serving.Load() > 0 }
--- a/node/node.go
+++ b/node/node.go
@@ -102,6 +102,8 @@
 	// answersDropped counts the requests whose answer was not delivered.
 	answersDropped atomic.Int64
 	watchers       []*watcher
+	// callerBound is the bound of callers' connections, 0 for none.
+	callerBound atomic.Int64
 
 	callerLis, peerLis, readyLis, metricsLis net.Listener
 }
@@ -166,6 +168,8 @@
 	})
 	n.ingress = ingress.NewServer(n.platform.CallerHeaders(), n.forward.Serve, n.callerLimits)
 	n.ingress.OnAnswerDropped, n.ingress.OnUnread = n.recordDroppedAnswer, n.recordUnread
+	n.ingress.MaxConnections = func() int { return int(n.callerBound.Load()) }
+	n.updateCallerBound()
 	n.grpc = grpc.NewServer(peer.ServerOptions()...)
 	fleetpb.RegisterFleetServer(n.grpc, fleet.NewServer(n.hub, n.broker, n.rates))
 	n.registerGauges()
@@ -347,6 +351,7 @@
 	for ctx.Err() == nil {
 		pause(ctx, sweepInterval)
 		n.egress.Sweep()
+		n.updateCallerBound()
 		conns.tick(n)
 		n.storeCalls.logCounts(n.log)
 	}
@@ -355,7 +360,8 @@
 
 // ready reports whether this VM should receive new callers.
 func (n *Node) ready() bool {
-	return !n.stopping.Load() && n.view.Snapshot().Routes != nil && n.configFresh()
+	return !n.stopping.Load() && n.view.Snapshot().Routes != nil && n.configFresh() &&
+		n.ingress.NotAcceptingFor() < acceptTolerance
 }
 
 func (n *Node) readyMux() *http.ServeMux {
