leader: a term after a restore exceeds the version that it replaces

What callers could see: two processes got the same term. Followers order tables and reports by term, so the second holder's could be taken for older ones.

Cause: the term after a restore was that of the copy plus 2^20 for each era that the record was behind. The same sum can come out twice. A process that knew the holder only from heartbeats took era 0 for the record's, added too much, and met the sum of the next era. And if a delayed write of before put the old record in place of the new one, the next process started from the same term again.

Change: such a term is above the version of the lease that it replaces, eras included. The model of eras also delivers heartbeats between processes, and carries out writes after their time-out.

Why it works: each acquisition replaces another version, versions rise within an era and from one to the next, and a record's term is never above the version under which it was written.

--- a/leader/era_test.go
+++ b/leader/era_test.go
@@ -161,6 +161,48 @@
 	require.False(t, holds)
 }
 
+// Guards against a term that is given out again: it was acquired by a process that knew
+// the holder before from its heartbeats only, and the store lost it.
+func TestTermAfterHeartbeatsOfANewEraIsNotGivenOutAgain(t *testing.T) {
+	s := &erasStore{era: 1}
+	a, b, c := New(identity("a"), Candidacy{}), New(identity("b"), Candidacy{}), New(identity("c"), Candidacy{})
+	observe(a, s, start)
+	a.Observed(start, VersionedRecord{Version: s.read().Version, Record: Record{Era: 1}})
+	now := start.Add(2 * TTL)
+	write(t, a, s, now)
+	term, holds := a.Holds(now)
+	require.True(t, holds)
+	b.HeartbeatReceived(now, a.self, term, a.Version())
+	now = now.Add(2 * TTL)
+	lost := write(t, b, s, now)
+	s.restore(1)
+	observe(c, s, now)
+	now = now.Add(2 * TTL)
+	require.NotEqual(t, lost.Term, write(t, c, s, now).Term)
+}
+
+// Guards against a term that is given out again: a delayed write of an earlier era has
+// replaced the record of its holder.
+func TestTermThatADelayedWriteReplacedIsNotGivenOutAgain(t *testing.T) {
+	s := &erasStore{}
+	a, b, c := New(identity("a"), Candidacy{}), New(identity("b"), Candidacy{}), New(identity("c"), Candidacy{})
+	observe(a, s, start)
+	write(t, a, s, start)
+	now := start.Add(RenewInterval)
+	write(t, a, s, now)
+	delayed := a.Next(now.Add(RenewInterval))
+	s.restore(1)
+	observe(b, s, now)
+	now = now.Add(2 * TTL)
+	lost := write(t, b, s, now)
+	_, ok := s.put(delayed.Version, delayed.Next)
+	require.False(t, ok)
+	require.Equal(t, a.self, s.current.record.Holder)
+	observe(c, s, now)
+	now = now.Add(2 * TTL)
+	require.Greater(t, write(t, c, s, now).Term, lost.Term)
+}
+
 // Guards against two holders after the store returned to an older copy, where writes of
 // before arrive after the return and processes restart.
 func TestOneHolderAtATimeAcrossEras(t *testing.T) {
@@ -183,6 +225,13 @@
 			case 2:
 				// Other objects are written.
 				s.counter++
+			case 3, 4, 5:
+				from := ps[rapid.IntRange(0, len(ps)-1).Draw(t, "from")]
+				if term, ok := from.lease.Holds(from.clock(elapsed)); ok {
+					p.lease.HeartbeatReceived(p.clock(elapsed), from.lease.self, term, from.lease.Version())
+				}
+			case 6, 7:
+				p.completeAbandoned(t, s)
 			default:
 				p.step(t, s, p.clock(elapsed))
 			}
@@ -209,6 +258,8 @@
 	process
 	name  string
 	boots int
+	// abandoned are writes that timed out and may still be carried out.
+	abandoned []Step
 }
 
 func (p *eraProcess) boot() string { return p.lease.self.Boot }
@@ -220,11 +271,26 @@
 	p.lease, p.pending = New(id, CandidacyOf(0, 12)), nil
 }
 
+// completeAbandoned carries out a write whose caller no longer waits for it.
+func (p *eraProcess) completeAbandoned(t *rapid.T, s *erasStore) {
+	if len(p.abandoned) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(p.abandoned)-1).Draw(t, "abandoned")
+	s.put(p.abandoned[i].Version, p.abandoned[i].Next)
+	p.abandoned = append(p.abandoned[:i], p.abandoned[i+1:]...)
+}
+
 // step completes the pending write of a process, or starts its next step.
 func (p *eraProcess) step(t *rapid.T, s *erasStore, now time.Time) {
 	if p.pending != nil {
 		step := *p.pending
 		p.pending = nil
+		if rapid.IntRange(0, 3).Draw(t, "outcome") == 0 {
+			p.abandoned = append(p.abandoned, step)
+			p.lease.Failed(now, false)
+			return
+		}
 		version, confirmed := s.put(step.Version, step.Next)
 		switch {
 		case rapid.Bool().Draw(t, "lost"):
--- a/leader/lease.go
+++ b/leader/lease.go
@@ -28,9 +28,6 @@
 	heartbeatPollInterval = 2 * time.Second
 	// retryInterval is the delay after a failed call to the store.
 	retryInterval = 150 * time.Millisecond
-	// termsPerEra is added to the term for each era that a restored record is behind. It
-	// exceeds the number of terms that may have begun after the copy was made.
-	termsPerEra = 1 << 20
 	// safetyMargin is subtracted from the lease duration to cover the time
 	// between the check of the lease and the action that relies on it.
 	safetyMargin = 150 * time.Millisecond
@@ -222,9 +219,19 @@
 	}
 	last := l.current.Record
 	l.predecessorSettled, l.predecessorMembers = last.Settled && !l.current.restored(), last.Members
-	lostTerms := topo.Term(l.current.era()-last.Era) * termsPerEra
 	// Until this process knows its members, the number is that of its predecessor.
-	return l.write(now, Record{Term: last.Term + lostTerms + 1, Holder: l.self, Members: l.predecessorMembers})
+	return l.write(now, Record{Term: l.nextTerm(), Holder: l.self, Members: l.predecessorMembers})
+}
+
+// nextTerm returns the term of a process that replaces the current version. No record has
+// a term above its own version, so that a term above the version that it replaces exceeds
+// all terms of lost records, and of those that a delayed write of an earlier era replaced.
+func (l *Lease) nextTerm() topo.Term {
+	term := l.current.Record.Term + 1
+	if l.current.restored() {
+		term = max(term, topo.Term(l.current.Version)+1)
+	}
+	return term
 }
 
 // renew returns the write that renews the lease or, after Resign, releases it.
