leader: a delayed write of before does not give the lease back

What callers could see: two leaders at a time, for up to 3 s.

Cause: a process whose lease lapsed while the store was away takes it back if the restored record names it. But its last renewal, which had timed out, may be carried out in the new era and replace the record of a process that acquired the lease there since, if that has the same counter. The record then looked like a restored one.

Evidence: without the change TestDelayedWriteOverTheNextHolderDoesNotGiveTheLeaseBack fails: Should not be: 0x2 (b holds the lease) With it, it passes. The random model of eras did not meet this case.

Change: the process takes the lease back only under a version that is not above the newest that it knew before the restore. Otherwise it waits as all others do.

Why it works: a write that is carried out gives a higher version than the one that it was conditional on. What remains: a write that timed out, was repeated with success, and is carried out again after the next process has acquired the lease, if the counters match twice.

--- a/leader/era_test.go
+++ b/leader/era_test.go
@@ -203,6 +203,34 @@
 	require.Greater(t, write(t, c, s, now).Term, lost.Term)
 }
 
+// Guards against a process that takes its lease back on the strength of its own delayed
+// write, which has overwritten the record of the next holder.
+func TestDelayedWriteOverTheNextHolderDoesNotGiveTheLeaseBack(t *testing.T) {
+	s := &erasStore{}
+	a, b := New(identity("a"), Candidacy{}), New(identity("b"), Candidacy{})
+	observe(a, s, start)
+	write(t, a, s, start)
+	now := start.Add(RenewInterval)
+	write(t, a, s, now)
+	now = now.Add(RenewInterval)
+	delayed := a.Next(now)
+	require.Equal(t, Write, delayed.Action)
+	a.Failed(now, false)
+	s.restore(1)
+	a.SetEra(now, s.era)
+	observe(b, s, now)
+	now = now.Add(2 * TTL)
+	write(t, b, s, now)
+	_, ok := s.put(delayed.Version, delayed.Next)
+	require.False(t, ok)
+	require.Equal(t, a.self, s.current.record.Holder)
+	a.Next(now)
+	observe(a, s, now)
+	_, holds := b.Holds(now)
+	require.True(t, holds)
+	require.NotEqual(t, Write, a.Next(now).Action, "b holds the lease")
+}
+
 // Guards against two holders after the store returned to an older copy, where writes of
 // before arrive after the return and processes restart.
 func TestOneHolderAtATimeAcrossEras(t *testing.T) {
--- a/leader/lease.go
+++ b/leader/lease.go
@@ -121,6 +121,8 @@
 	// knownEra is the newest era that the store has shown. resumeEra is the newest that it
 	// showed before the lease of this process had ended.
 	knownEra, resumeEra topo.Era
+	// resumeLimit is the store's counter of the newest version observed before resumeEra.
+	resumeLimit uint64
 	// conflict is set from a rejected write until the next read.
 	conflict  bool
 	resigning bool
@@ -178,16 +180,19 @@
 	}
 	l.knownEra = era
 	if now.Before(l.heldUntil) {
-		l.resumeEra = era
+		l.resumeEra, l.resumeLimit = era, topo.Revision(l.current.Version).Counter()
 	}
 	if !l.lastObserved.IsZero() {
 		l.observed, l.conflict, l.nextActionAt = false, true, now
 	}
 }
 
-// resumes reports whether this process may take the lease back under its last term.
+// resumes reports whether this process may take the lease back under its last term. A
+// version above resumeLimit may be a delayed write of this process, which has replaced the
+// record of another holder.
 func (l *Lease) resumes() bool {
-	return l.current.restored() && l.resumeEra == l.current.era() && l.current.Record.Holder == l.self
+	return l.current.restored() && l.resumeEra == l.current.era() && l.current.Record.Holder == l.self &&
+		topo.Revision(l.current.Version).Counter() <= l.resumeLimit
 }
 
 // Resign makes the next step release the lease if the process holds it. The
