leader: a lease created in a later era is not held

What callers could see: two leaders for up to 3 s, if the store returns to a copy without a lease while a process creates it.

Cause: the creation of an object requires no version, so the client takes a response of a later era for a success. The lease was found missing in the earlier era, and a process that acquired it before the restore may still hold it.

Evidence: without the change TestLeaseCreatedInALaterEraIsNotHeld fails: era_test.go:243: Should be false With it, it passes, as do the tests of ./leader with -race.

Change: a written version of another era than the record's counts as a conflict.

Why it works: the record is then read as one of an earlier era, which nobody holds before the leases of before have expired.

--- a/leader/era_test.go
+++ b/leader/era_test.go
@@ -231,6 +231,23 @@
 	require.NotEqual(t, Write, a.Next(now).Action, "b holds the lease")
 }
 
+// Guards against a lease that is created in a later era than the one in which it was
+// found missing: a process may hold one that was lost in between.
+func TestLeaseCreatedInALaterEraIsNotHeld(t *testing.T) {
+	l := New(identity("a"), Candidacy{})
+	l.Observed(start, VersionedRecord{})
+	step := l.Next(start)
+	require.Equal(t, Write, step.Action)
+	l.Written(start, step.Next, uint64(topo.RevisionOf(1, 7)))
+	_, holds := l.Holds(start)
+	require.False(t, holds)
+	l.Observed(start, VersionedRecord{Record: step.Next, Version: uint64(topo.RevisionOf(1, 7))})
+	_, holds = l.Holds(start)
+	require.False(t, holds)
+	require.NotEqual(t, Write, l.Next(start).Action)
+	require.Equal(t, Write, l.Next(start.Add(2*TTL)).Action)
+}
+
 // Guards against two holders after the store returned to an older copy, where writes of
 // before arrive after the return and processes restart.
 func TestOneHolderAtATimeAcrossEras(t *testing.T) {
--- a/leader/lease.go
+++ b/leader/lease.go
@@ -376,8 +376,13 @@
 }
 
 // Written records that the write of the last step took effect, so that the store
-// now has record under version.
+// now has record under version. A version of a later era than the record counts as a
+// conflict: the write of a lease that does not exist requires no version of its era.
 func (l *Lease) Written(now time.Time, record Record, version uint64) {
+	if topo.Revision(version).Era() != record.Era {
+		l.Failed(now, true)
+		return
+	}
 	l.current, l.firstObserved = VersionedRecord{Record: record, Version: version}, now
 	l.expiry, l.firstUnconfirmedSent = time.Time{}, time.Time{}
 	if record.Holder == l.self {
