node: a read of an era that is not recorded yet proves nothing

Cause: the client of the store notes a new era and then calls the node. A response of that era that another call receives in between was taken to prove the newest configuration, since the grace time was not set yet. The window is the time between the two; it was shown by the test only.

Evidence: without the change TestReadOfAnEraThatIsNotRecordedYetProvesNothing fails: era_test.go:153: Should be false

Change: a revision of a later era than the recorded one proves nothing.

Why it works: the read that follows meets the recorded era and its grace time.

Tests: one run of go test ./node printed nothing for 220 s and was ended, at a load of 17 to 20 on the machine; the reason is not known. After it, one run with -v, eight with -count=8 and one with -race passed, in 2 s to 6 s each.

--- a/node/era.go
+++ b/node/era.go
@@ -44,10 +44,11 @@
 // proves reports whether a read at time at, which was answered at rev, proves which
 // configuration is the newest. A store that came back from an older copy may lack a
 // withdrawal of a key that it had acknowledged, until the operator has written it again.
+// An era that is not recorded yet has just begun.
 func (s *storeEra) proves(rev topo.Revision, at time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return rev.Era() < s.era || !at.Before(s.settled)
+	return rev.Era() < s.era || rev.Era() == s.era && !at.Before(s.settled)
 }
 
 // watchLimit returns the longest wait of a watch that lets a read prove the newest
--- a/node/era_test.go
+++ b/node/era_test.go
@@ -142,3 +142,13 @@
 	e.apply(rev, bootNow())
 	require.Equal(t, []string{"e/again"}, evacuated())
 }
+
+// Guards against a response of a new era that is applied before the era is recorded, as
+// another call has received the first response of that era at the same time.
+func TestReadOfAnEraThatIsNotRecordedYetProvesNothing(t *testing.T) {
+	var s storeEra
+	now := time.Unix(1000, 0)
+	s.record(1, now)
+	require.True(t, s.proves(topo.RevisionOf(1, 7), now))
+	require.False(t, s.proves(topo.RevisionOf(2, 5), now.Add(time.Second)))
+}
