node: a task that panicked starts its term anew

The assigner runs again after a panic and would have resumed its term with the machines that the panic left behind, again and again if they cause it. Found by reading; a term is resumed only if its rounds ended without a panic.

--- a/node/assigner.go
+++ b/node/assigner.go
@@ -71,6 +71,9 @@
 	publishedChanges uint64
 	lastPlan         time.Time
 	termCtx          context.Context
+	// interrupted is set when the rounds of a term ended without a panic, so that the
+	// term can be resumed.
+	interrupted bool
 	// settleRequests carries the requests of Settle to Run. The result is sent
 	// on the received channel.
 	settleRequests chan chan bool
@@ -100,14 +103,15 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	start := clock.Boot()
-	resumed := term == a.term && a.machines != nil
-	a.termCtx, a.ordersInFlight = ctx, 0
-	if resumed {
+	resumes := a.interrupted && term == a.term
+	a.termCtx, a.ordersInFlight, a.interrupted = ctx, 0, false
+	if resumes {
 		a.resume(start)
 	} else if !a.beginTerm(ctx, start, term) {
 		return
 	}
 	a.runRounds(ctx)
+	a.interrupted = true
 }
 
 // resume continues a term that was interrupted; see leader.Lease.SetEra.
@@ -129,8 +133,6 @@
 	a.node.hub.BeginTerm(start, a.node.lease.PredecessorMembers())
 	for !a.adoptTables(ctx, start) {
 		if !a.leads() || ctx.Err() != nil {
-			// The tables are incomplete, so the term cannot be resumed.
-			a.machines = nil
 			return false
 		}
 		pause(ctx, assignInterval)
--- a/node/tables_test.go
+++ b/node/tables_test.go
@@ -171,12 +171,13 @@
 	a := newTableAssigner(t, s)
 	storeTable(t, a, 0)
 	before := s.copy()
-	require.True(t, a.adoptTables(t.Context(), bootNow()))
-	m := a.machines["s"]
-	s.restore(before)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	a.runTerm(ctx, 3)
+	m := a.machines["s"]
+	require.Equal(t, ownership.Held, m.Holds()[0].Phase)
+	s.restore(before)
+	a.runTerm(ctx, 3)
 	require.Same(t, m, a.machines["s"], "the process is the last leader of before")
 	require.Equal(t, ownership.Held, m.Holds()[0].Phase)
 	a.runTerm(ctx, 4)
