leader: a resigned process pauses between its reads

What it cost: a stopping VM read the lease without a pause, 4 ms a call, while nobody held it: after its release and until the next VM acquired it, or for the whole stop.

Cause: a free lease may be acquired at once, so the delay until the next step is 0; a process that has resigned reads instead of writing.

--- a/leader/lease.go
+++ b/leader/lease.go
@@ -338,6 +338,9 @@
 		}
 		return RenewInterval
 	}
+	if l.resigning {
+		return pollInterval
+	}
 	if l.mayAcquire(now) {
 		return 0
 	}
--- a/leader/lease_test.go
+++ b/leader/lease_test.go
@@ -246,3 +246,23 @@
 	second.SetMembers(0)
 	require.Equal(t, 195, second.Next(start.Add(RenewInterval)).Next.Members)
 }
+
+// Guards against a stopping VM that reads a free lease again and again without a pause.
+func TestResignedProcessPausesBetweenReads(t *testing.T) {
+	s := &fakeStore{}
+	l := New(identity("a"), Candidacy{})
+	acquire(t, l, s, start)
+	l.Resign(start, true)
+	step := l.Next(start)
+	require.True(t, s.put(step.Version, step.Next))
+	l.Written(start, step.Next, s.version)
+	now := start.Add(pollInterval)
+	for range 3 {
+		require.Equal(t, Read, l.Next(now).Action)
+		l.Observed(now, VersionedRecord{Record: s.record, Version: s.version})
+		next := l.Next(now)
+		require.Equal(t, Wait, next.Action)
+		require.GreaterOrEqual(t, next.At.Sub(now), urgentPollInterval)
+		now = next.At
+	}
+}
