--- a/review/_rig/restored.go
+++ b/review/_rig/restored.go
@@ -28,7 +28,7 @@
 		r.store.Restore(r.store.Copy())
 	}
 	putConfig(r, 1)
-	for i := range 4 {
+	for i := range 7 {
 		r.addBackend(&backend{id: fmt.Sprintf("i-%d", i), service: "orders", zone: fmt.Sprintf("z%d", i%2), slots: 6, work: 20 * time.Millisecond, keyed: true})
 	}
 	go r.heartbeats(870 * time.Millisecond)
@@ -39,10 +39,10 @@
 	for i := range 8 {
 		r.addVM(fmt.Sprintf("vm-%d", i), fmt.Sprintf("z%d", i%2), os.Getenv("BOOTSTRAP") != "false")
 	}
-	r.awaitReady(10 * time.Second)
-	r.awaitOwners(10 * time.Second)
+	r.awaitReady(20 * time.Second)
+	r.awaitOwners(15 * time.Second)
 	go r.traffic()
-	for i := 4; i < 6; i++ {
+	for i := 7; i < 9; i++ {
 		r.addBackend(&backend{id: fmt.Sprintf("i-%d", i), service: "orders", zone: fmt.Sprintf("z%d", i%2), slots: 6, work: 20 * time.Millisecond, keyed: true})
 	}
 	time.Sleep(2 * time.Second)
--- a/review/_rig/withdrawn.go
+++ b/review/_rig/withdrawn.go
@@ -23,9 +23,9 @@
 
 const revokeS = 5 * time.Second
 
-// withdrawn: a key is taken away. Over revokeS later the store is away for a moment and
-// comes back from a copy of before; the process that leads is killed meanwhile. The
-// operator writes the configuration again 2 s after the return.
+// withdrawn: a key is taken away. Over revokeS later the store is away for 2 s and comes
+// back from a copy of before; the process that leads is killed meanwhile. The
+// operator writes the configuration again 1 s after the return.
 func withdrawn(r *rig) {
 	putKeys(r, 1, "k1", "k2")
 	for i := range 4 {
@@ -63,20 +63,21 @@
 			}()
 		}
 	}()
-	time.Sleep(time.Until(acknowledged.Add(5500 * time.Millisecond)))
+	time.Sleep(time.Until(acknowledged.Add(5200 * time.Millisecond)))
 	if r.trouble {
 		lead := r.leaderVM()
 		r.note("away", "store", "the store is away")
 		r.away.Store(true)
+		time.Sleep(500 * time.Millisecond)
 		lead.signal(syscall.SIGKILL)
 		<-lead.done
 		time.Sleep(400 * time.Millisecond)
 		lead.start()
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(1100 * time.Millisecond)
 		r.store.Restore(copied)
 		r.away.Store(false)
 		r.note("back", "store", "the store is back from the copy")
-		time.Sleep(2 * time.Second)
+		time.Sleep(time.Second)
 		putKeys(r, 2, "k1")
 	}
 	<-done
