--- a/review/1/run.sh
+++ b/review/5/run.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Exit status: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0 runs it
 # without the disruption.
-case_name=copied
+case_name=cold
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/review-rig ] && [ -x target/godwitlock-node ] || exit 2
--- a/review/_rig/backend.go
+++ b/review/_rig/backend.go
@@ -38,6 +38,9 @@
 	ended            *sync.Cond
 	granted          [keyCount]time.Time // end of the last hold, released or not
 	handovers, inUse int
+	coldUntil        time.Time
+	arrivals         []time.Time // when the requests were sent that came while it was cold
+	mostCold         int
 }
 
 func (b *backend) start() error {
@@ -50,7 +53,10 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /grant", b.grant)
 	mux.HandleFunc("POST /release", b.release)
-	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Instance-Id", b.id) })
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Instance-Id", b.id)
+		w.Header().Set("Cold-Ms", strconv.FormatInt(b.coldLeft().Milliseconds(), 10))
+	})
 	mux.HandleFunc("/", b.serve)
 	if b.raw != nil {
 		b.raw.handler, b.raw.lis = mux, lis
@@ -65,10 +71,17 @@
 func (b *backend) entry() map[string]any {
 	return map[string]any{
 		"service": b.service, "addr": b.lis.Addr().String(), "zone": b.zone, "version": "v1", "slots": b.slots,
-		"state": "ready", "warmupLeftS": 0, "seq": b.seq.Add(1), "born": b.born,
+		"state": "ready", "warmupLeftS": b.coldLeft().Seconds(), "seq": b.seq.Add(1), "born": b.born,
 	}
 }
 
+// coldLeft returns for how long the backend stays cold.
+func (b *backend) coldLeft() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return max(0, time.Until(b.coldUntil))
+}
+
 type order struct {
 	From   int     `json:"from"`
 	Target int     `json:"target"`
@@ -170,6 +183,10 @@
 	b.running[key]++
 	b.mu.Unlock()
 	b.rig.ran(b, id, key, r)
+	if b.countCold(id) {
+		b.rig.note("crashes", b.id, "too many requests while it is cold")
+		go func() { _ = b.srv.Close() }()
+	}
 	time.Sleep(b.work)
 	b.mu.Lock()
 	b.inUse--
--- a/review/_rig/client.go
+++ b/review/_rig/client.go
@@ -57,6 +57,9 @@
 	defer nc.Close()
 	_ = nc.SetDeadline(time.Now().Add(wait))
 	r.note("sent", front, "%s", id)
+	r.mu.Lock()
+	r.sentAt[id] = time.Now()
+	r.mu.Unlock()
 	if _, err := io.WriteString(nc, raw); err != nil {
 		return answer{err: err}
 	}
--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -28,4 +28,4 @@
 	f(newRig(*dir, *bin, os.Getenv("TROUBLE") != "0"))
 }
 
-var cases = map[string]func(*rig){"restored": restored, "withdrawn": withdrawn, "brokenoff": brokenOff, "copied": copied}
+var cases = map[string]func(*rig){"withdrawn": withdrawn, "brokenoff": brokenOff, "copied": copied, "cold": cold}
--- a/review/_rig/rig.go
+++ b/review/_rig/rig.go
@@ -37,6 +37,7 @@
 	backends []*backend
 	vms      []*vm
 	runs     map[string][]run
+	sentAt   map[string]time.Time
 	broken   []string
 	stop     chan struct{}
 }
@@ -51,7 +52,7 @@
 func newRig(dir, bin string, trouble bool) *rig {
 	f, err := os.Create(filepath.Join(dir, "record.txt"))
 	must(err)
-	r := &rig{dir: dir, bin: bin, record: f, begin: time.Now(), trouble: trouble, store: site.NewStore(), runs: make(map[string][]run), stop: make(chan struct{})}
+	r := &rig{dir: dir, bin: bin, record: f, begin: time.Now(), trouble: trouble, store: site.NewStore(), runs: make(map[string][]run), sentAt: make(map[string]time.Time), stop: make(chan struct{})}
 	r.owners = &owners{rig: r}
 	r.storeLis, err = net.Listen("tcp", "127.0.0.1:0")
 	must(err)
