--- a/review/_rig/brokenoff.go
+++ b/review/_rig/brokenoff.go
@@ -6,11 +6,12 @@
 	"math/rand/v2"
 	"net"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
-// brokenOff: callers keep connections open and send four safe requests at a time. Three of
-// five backends break off one answer in twenty; the others are sound.
+// brokenOff: callers keep connections open and send four safe requests at a time. For 5.5 s,
+// two of six backends break off one answer in fifty; the others are sound.
 func brokenOff(r *rig) {
 	route := map[string]any{"name": "proof", "host": "h.example", "pathPrefix": "/proof/", "kind": "safe", "public": true,
 		"timeoutS": 1.5, "sloS": 0.5, "priority": 1, "service": "proofs", "attempts": 2}
@@ -20,11 +21,12 @@
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutS": 5, "idleTimeoutS": 10},
 	})
 	sound := make(map[string]bool)
-	for i := range 5 {
+	var spoils atomic.Bool
+	for i := range 6 {
 		b := &backend{id: fmt.Sprintf("i-%d", i), service: "proofs", zone: fmt.Sprintf("z%d", i%2), slots: 12, work: 20 * time.Millisecond, bodyBytes: 20000}
-		if i < 3 && r.trouble {
-			b.spoil = func(string) bool { return rand.Float64() < 0.05 }
-		} else if i >= 3 {
+		if i < 2 {
+			b.spoil = func(string) bool { return spoils.Load() && rand.Float64() < 0.02 }
+		} else {
 			sound[b.id] = true
 		}
 		r.addBackend(b)
@@ -35,7 +37,9 @@
 	}
 	r.awaitReady(15 * time.Second)
 	time.Sleep(4 * time.Second)
-	end := time.Now().Add(20 * time.Second)
+	end := time.Now().Add(15 * time.Second)
+	time.AfterFunc(4*time.Second, func() { spoils.Store(r.trouble) })
+	time.AfterFunc(9500*time.Millisecond, func() { spoils.Store(false) })
 	lost := make(chan string, 100000)
 	done := make(chan struct{})
 	const callers = 12
--- a/review/_rig/cold.go
+++ b/review/_rig/cold.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	coldPerS  = 4.0
-	warmupS   = 6.0
+	coldPerS  = 3.8
+	warmupS   = 3.0
 	coldBound = coldPerS*1.5 + 5 // warmupOverrun, warmupSlack
 )
 
@@ -110,7 +110,7 @@
 	}
 	if float64(n) > coldBound && n > b.mostCold {
 		b.mostCold = n
-		b.rig.violate("FAILBACK: the cold %s got %d requests in one second, the bound is %.0f", b.id, n, coldBound)
+		b.rig.violate("FAILBACK: the cold %s got %d requests in one second, the bound is %.1f", b.id, n, coldBound)
 	}
-	return n > crashRate*coldPerS
+	return float64(n) > crashRate*coldPerS
 }
