--- a/permit/pool.go
+++ b/permit/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"godwitlock.example/godwitlock/topo"
+	"godwitlock.example/godwitlock/workload"
 )
 
 const (
@@ -34,6 +35,14 @@
 	// is still expected to meet the latency objective; after it the request
 	// is late.
 	StartBy, PromptBy time.Time
+	// Route is the name of the request's route.
+	Route string
+	// Work is the expected service time of the request; its zero value means that it
+	// is not known.
+	Work workload.Estimate
+	// ObjectiveBy is when the response is due for its full value, and AnswerBy when it
+	// is due at all. A zero time means that it is not known.
+	ObjectiveBy, AnswerBy time.Time
 	// Lease is the time after which the slot is freed even if the request was
 	// not reported as finished.
 	Lease time.Duration
@@ -78,6 +87,14 @@
 	Full bool
 	// Failed is set if the server could not be reached or did not answer.
 	Failed bool
+	// Work is the expected service time of the request; 0 if it is not known.
+	Work time.Duration
+	// Slowdown is how long work takes at the server at present, relative to the usual
+	// time; 0 if the server did not report it.
+	Slowdown float64
+	// TimedOut is set if the server had the request until its deadline and did not
+	// respond.
+	TimedOut bool
 }
 
 // Pool is a set of interchangeable servers with one queue.
