health, permit, forward: choose servers by present slowness, eject failing ones, reserve retries

Cause: the home VM ranked servers by one moving average over all kinds of requests and did not use the slowdown that servers report; a server that fails 45% of its requests without two failures in a row kept its share; the retry budget was used up within 3 s by callers that return by themselves. Change: package health (slowness, ejection with probation and memory), Pool.choose by expected answer, failed attempts count as slow for the placement of keys, two thirds of the retries are reserved for callers that return while many do. Tests of health, permit, execution, forward, broker, platform pass.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"godwitlock.example/godwitlock/clock"
+	"godwitlock.example/godwitlock/health"
 	"godwitlock.example/godwitlock/permit"
+	"godwitlock.example/godwitlock/topo"
 )
 
 // tickInterval is how often pools with queued requests are processed even if no
@@ -28,6 +30,10 @@
 type Broker struct {
 	servers Servers
 	divisor int
+	// OnEjection, unless nil, makes pools eject servers that fail much more often than
+	// their peers, and is called when the ejection of a server begins or ends. It must
+	// be set before the broker is used and must not call the broker.
+	OnEjection func(pool string, server topo.ServerID, state health.State)
 
 	// wake tells Run that a request was queued.
 	wake chan struct{}
@@ -95,6 +101,9 @@
 	p := b.pools[name]
 	if p == nil {
 		p = &pool{Pool: permit.New(b.rng, b.divisor), waiters: make(map[uint64]chan permit.Decision)}
+		if b.OnEjection != nil {
+			p.EjectServers(func(id topo.ServerID, state health.State) { b.OnEjection(name, id, state) })
+		}
 		b.pools[name] = p
 	}
 	p.lastUsed = now
--- a/execution/attempts.go
+++ b/execution/attempts.go
@@ -117,17 +117,53 @@
 }
 
 type budgetCount struct {
-	index             int64
-	requests, retries int
+	index int64
+	// returned counts the requests whose callers had been refused before.
+	requests, returned, retries int
 }
 
+const (
+	// returnedShare is the share of returned requests among those of the last
+	// returnedBuckets buckets from which retries are reserved for them, and
+	// reservedShare the part of the budget that is reserved then.
+	returnedShare   = 0.05
+	returnedBuckets = 2
+	reservedShare   = 2.0 / 3
+)
+
 // Request counts a request from a caller. It must not be called for
 // retries, which Withdraw counts.
 func (b *Budget) Request(now time.Time) { b.currentBucket(now).requests++ }
 
+// Returned says that a request, which Request counted, comes from a caller that had
+// been refused before.
+func (b *Budget) Returned(now time.Time) { b.currentBucket(now).returned++ }
+
 // Withdraw takes one retry from the budget. It returns false, and takes
 // nothing, if the window allows no further retry.
-func (b *Budget) Withdraw(now time.Time) bool {
+func (b *Budget) Withdraw(now time.Time) bool { return b.withdraw(now, 0) }
+
+// WithdrawReturnable takes a retry for a request whose caller can return after a refusal.
+// While many refused callers return, most of the budget is reserved for those: a retry
+// is worth more to a caller that will not return again. It responds to servers that
+// refuse a large part of all requests for longer than the budget lasts.
+func (b *Budget) WithdrawReturnable(now time.Time) bool {
+	current := b.currentBucket(now)
+	var requests, returned int
+	for i := range b.buckets {
+		if c := &b.buckets[i]; current.index-c.index < returnedBuckets {
+			requests += c.requests
+			returned += c.returned
+		}
+	}
+	if float64(returned) < returnedShare*float64(requests) {
+		return b.withdraw(now, 0)
+	}
+	return b.withdraw(now, reservedShare)
+}
+
+// withdraw takes a retry from the part of the budget that is not reserved.
+func (b *Budget) withdraw(now time.Time, reserved float64) bool {
 	current := b.currentBucket(now)
 	var requests, retries int
 	for i := range b.buckets {
@@ -136,7 +172,7 @@
 			retries += c.retries
 		}
 	}
-	if float64(retries+1) > b.allowed(requests) {
+	if float64(retries+1) > b.allowed(requests)*(1-reserved) {
 		return false
 	}
 	current.retries++
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -89,7 +89,7 @@
 	r := permit.Request{
 		Customer: topo.CustomerID(req.GetCustomer()), Priority: int(req.GetPriority()),
 		StartBy: now.Add(millis(req.GetPatienceMs())), PromptBy: now.Add(millis(req.GetPromptMs())),
-		Lease: millis(req.GetLeaseMs()), DataCentre: topo.DataCentreName(req.GetDataCentre()),
+		Repeatable: req.GetRepeatable(), Lease: millis(req.GetLeaseMs()), DataCentre: topo.DataCentreName(req.GetDataCentre()),
 	}
 	for _, id := range req.GetAvoid() {
 		r.Avoid = append(r.Avoid, topo.ServerID(id))
@@ -120,6 +120,7 @@
 	for _, f := range req.GetFinished() {
 		s.broker.Finish(f.GetPool(), f.GetPermit(), permit.Result{
 			ServiceTime: micros(f.GetWorkUs()), Full: f.GetFull(), Failed: f.GetFailed(),
+			Slowdown: float64(f.GetSlowdownPercent()) / 100,
 		})
 	}
 	return &fleetpb.FinishResponse{}, nil
--- a/fleet/slots.go
+++ b/fleet/slots.go
@@ -164,6 +164,7 @@
 		// A slot that cannot be released is freed when its lease expires.
 		_, _ = r.client.Finish(ctx, &fleetpb.FinishRequest{Vm: string(r.vm), Finished: []*fleetpb.Finished{{
 			Pool: r.pool, Permit: r.id, WorkUs: res.ServiceTime.Microseconds(), Full: res.Full, Failed: res.Failed,
+			SlowdownPercent: uint32(res.Slowdown*100 + 0.5),
 		}}})
 	}()
 }
@@ -173,7 +174,7 @@
 	out := &fleetpb.AcquireRequest{
 		Vm: string(vm), Pool: pool, Priority: int32(r.Priority), Customer: string(r.Customer),
 		PatienceMs: r.StartBy.Sub(now).Milliseconds(), PromptMs: r.PromptBy.Sub(now).Milliseconds(),
-		LeaseMs: r.Lease.Milliseconds(), DataCentre: string(r.DataCentre),
+		LeaseMs: r.Lease.Milliseconds(), DataCentre: string(r.DataCentre), Repeatable: r.Repeatable,
 	}
 	for _, id := range r.Avoid {
 		out.Avoid = append(out.Avoid, string(id))
--- a/forward/acquire.go
+++ b/forward/acquire.go
@@ -139,7 +139,7 @@
 	slot, d := f.Slots.Acquire(ctx, snap, pool, permit.Request{
 		Customer: r.customerID(), Priority: r.priority(), Avoid: r.triedServers, Excluded: r.paused,
 		StartBy: boot.Add(time.Duration(float64(left) * slotWaitShare)), PromptBy: boot.Add(objectiveLeft / 2),
-		Lease: left + slotLeaseMargin,
+		Lease: left + slotLeaseMargin, Repeatable: r.attempts.Repeatable,
 	})
 	if d.Verdict != permit.Granted {
 		reason := "no slot granted in pool " + pool
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -72,7 +73,7 @@
 			// The request is cancelled: it is not sent again.
 			r.attempts.Max = 0
 		}
-		action := r.attempts.NextAction(time.Now(), res.outcome, func() bool { return f.Budgets.Withdraw(r.service.Name) })
+		action := r.attempts.NextAction(time.Now(), res.outcome, func() bool { return f.Budgets.Withdraw(r.service.Name, r.returned) })
 		if r.hasBody && action != Relay {
 			// The body is streamed, and the attempt consumed it.
 			action = r.attempts.adjustAction(Refuse)
@@ -103,7 +104,7 @@
 		case action == ReportUnknown:
 			kind = errkind.OutcomeUnknown
 		case res.outcome == Rejected:
-			kind = errkind.ServerRefused
+			kind, retryAfter = errkind.ServerRefused, f.refusedRetryAfter(r, res)
 		case res.outcome == NotOwner:
 			kind = errkind.NoOwner
 		case f.refusedByStop(r):
@@ -156,6 +157,17 @@
 	return min(500*time.Millisecond, max(defaultRetryAfter, time.Until(r.deadline)/4))
 }
 
+// refusedRetryAfter returns the Retry-After of a request that a server refused. A server
+// that refuses a part of its requests although it has room does so at any time: its caller
+// may return at once, so that the answer can still meet its objective. The times are spread
+// over a factor of two.
+func (f *Forwarder) refusedRetryAfter(r *request, res *result) time.Duration {
+	if !res.hadRoom {
+		return f.failureRetryAfter(r)
+	}
+	return defaultRetryAfter + rand.N(defaultRetryAfter)
+}
+
 // result is the result of one attempt.
 type result struct {
 	outcome Outcome
@@ -165,6 +177,8 @@
 	body        []byte
 	reason      string
 	serviceTime time.Duration
+	// hadRoom is set if the server refused the request although it reports free slots.
+	hadRoom bool
 }
 
 func (r *result) discard() {
@@ -183,7 +197,8 @@
 	if err != nil {
 		res := resultOfError(err)
 		res.serviceTime = serviceTime
-		server.slot.Finish(permit.Result{Failed: r.failedByServer(ctx) && !errors.Is(err, ErrStopping)})
+		failed := r.failedByServer(ctx) && !errors.Is(err, ErrStopping)
+		f.finishFailed(r, server, permit.Result{Failed: failed}, serviceTime)
 		return res
 	}
 	res := &result{resp: resp, serviceTime: serviceTime}
@@ -194,7 +209,8 @@
 		if resp.Status == http.StatusMisdirectedRequest {
 			res.outcome = NotOwner
 		}
-		server.slot.Finish(permit.Result{Full: res.outcome == Rejected && atCapacity(resp)})
+		res.hadRoom = res.outcome == Rejected && !atCapacity(resp)
+		server.slot.Finish(permit.Result{Full: res.outcome == Rejected && atCapacity(resp), Slowdown: slowdown(resp)})
 		return res
 	}
 	f.readAnswer(ctx, r, server, res)
@@ -248,7 +264,7 @@
 	if res.outcome == AnswerLost {
 		_ = resp.Body.Close()
 		res.resp = nil
-		server.slot.Finish(permit.Result{Failed: true})
+		f.finishFailed(r, server, permit.Result{Failed: true}, res.serviceTime)
 		return
 	}
 	if resp.Length > maxBufferedAnswerBytes {
@@ -279,7 +295,7 @@
 	}
 	_ = resp.Body.Close()
 	if err != nil {
-		server.slot.Finish(permit.Result{Failed: res.outcome == Failed || r.failedByServer(ctx)})
+		f.finishFailed(r, server, permit.Result{Failed: res.outcome == Failed || r.failedByServer(ctx)}, res.serviceTime)
 		res.outcome, res.reason, res.resp = AnswerLost, "answer ended early: "+err.Error(), nil
 		return
 	}
@@ -288,15 +304,34 @@
 		res.body = []byte{}
 	}
 	if res.outcome == Failed {
-		// The time until a failure is not recorded as a service time.
-		server.slot.Finish(permit.Result{Failed: true})
+		f.finishFailed(r, server, permit.Result{Failed: true, Slowdown: slowdown(resp)}, res.serviceTime)
 		return
 	}
-	f.finishSlot(server, res.serviceTime)
+	f.finishSlot(server, res)
 }
 
 // finishSlot frees a slot after a served request and records the service time.
-func (f *Forwarder) finishSlot(server grantedServer, d time.Duration) {
-	server.slot.Finish(permit.Result{ServiceTime: d})
-	f.Stats.Completed(server.ID, d)
+func (f *Forwarder) finishSlot(server grantedServer, res *result) {
+	server.slot.Finish(permit.Result{ServiceTime: res.serviceTime, Slowdown: slowdown(res.resp)})
+	f.Stats.Completed(server.ID, res.serviceTime)
+}
+
+// finishFailed frees a slot after an attempt without a usable answer. For the placement of
+// keys, a failure of the server takes as long as the route's latency objective at least:
+// its caller does not have an answer before, and a server that fails its requests at once
+// would otherwise look fast.
+func (f *Forwarder) finishFailed(r *request, server grantedServer, result permit.Result, d time.Duration) {
+	server.slot.Finish(result)
+	if result.Failed {
+		f.Stats.Completed(server.ID, max(d, r.route.Objective))
+	}
+}
+
+// slowdown returns how long work takes at the server at present, relative to the usual
+// time; 0 if the server did not report it.
+func slowdown(resp *egress.Response) float64 {
+	if !resp.HasLoad {
+		return 0
+	}
+	return resp.Load.SlowdownFactor
 }
--- a/forward/budgets.go
+++ b/forward/budgets.go
@@ -38,16 +38,24 @@
 }
 
 // CountRequest counts a caller's request to a service towards its retry budget.
-func (b *Budgets) CountRequest(name topo.ServiceName) {
+// returned says that the caller had been refused before.
+func (b *Budgets) CountRequest(name topo.ServiceName, returned bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.budget(name).Request(clock.Boot())
+	now := clock.Boot()
+	b.budget(name).Request(now)
+	if returned {
+		b.budget(name).Returned(now)
+	}
 }
 
 // Withdraw takes one retry from a service's budget. It returns false when the
-// budget is used up.
-func (b *Budgets) Withdraw(name topo.ServiceName) bool {
+// budget is used up, or when its rest is reserved for callers that returned.
+func (b *Budgets) Withdraw(name topo.ServiceName, returned bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.budget(name).Withdraw(clock.Boot())
+	if returned {
+		return b.budget(name).Withdraw(clock.Boot())
+	}
+	return b.budget(name).WithdrawReturnable(clock.Boot())
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -89,6 +89,7 @@
 	started  time.Time
 	splitter *routemap.Splitter
 	spread   *spread.Chooser
+	returns  *returnDetector
 	// lateCtx ends when late requests are to be refused, and lateEnd is set then.
 	lateCtx context.Context
 	late    context.CancelFunc
@@ -105,6 +106,7 @@
 func New(cfg Config) *Forwarder {
 	f := &Forwarder{
 		Config: cfg, started: clock.Boot(), splitter: routemap.NewSplitter(), spread: spread.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		returns: newReturnDetector(),
 	}
 	if f.Pauses == nil {
 		f.Pauses = &pushback.Table{}
@@ -178,6 +180,8 @@
 	rateTokenAt time.Time
 	// late says that the request arrived after RefuseLate.
 	late bool
+	// returned says that the caller seems to have been refused before.
+	returned bool
 }
 
 // Serve answers a request. The context must end when the caller disconnects.
@@ -197,7 +201,8 @@
 	}
 	destination := f.splitter.Next(r.route)
 	r.service = snap.Routes.Service(destination.Service)
-	f.Budgets.CountRequest(destination.Service)
+	r.returned = f.returns.Returned(r.route.Name, r.Deadline.Sub(r.Arrived))
+	f.Budgets.CountRequest(destination.Service, r.returned)
 	if r.service.Keyed {
 		f.Stats.Arrived(destination.Service, r.Key)
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -55,7 +55,7 @@
 	}
 	res.resp.Body = &streamedBody{Reader: body, source: res.resp.Body, onEnd: func(err error) {
 		if err == nil || err == io.EOF {
-			f.finishSlot(server, res.serviceTime)
+			f.finishSlot(server, res)
 			return
 		}
 		server.slot.Finish(permit.Result{Failed: ctx.Err() == nil})
--- a/node/node.go
+++ b/node/node.go
@@ -166,6 +166,9 @@
 	n.egress.OnConnect = func() { n.metrics.Count("server_connections", "", "") }
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	n.broker = broker.New(n.poolServers, 1, rng)
+	if n.settings.EjectServers {
+		n.broker.OnEjection = n.logEjection
+	}
 	n.fallback = broker.New(n.poolServers, fallbackDivisor, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	n.forward = forward.New(forward.Config{
 		View: n.view, DataCentre: n.settings.DataCentre, Egress: n.egress, RateLimiter: n.rates, Stats: n.reports, Log: n.log, Fresh: n.configFresh,
--- a/node/pools.go
+++ b/node/pools.go
@@ -2,7 +2,9 @@
 
 import (
 	"godwitlock.example/godwitlock/directory"
+	"godwitlock.example/godwitlock/health"
 	"godwitlock.example/godwitlock/permit"
+	"godwitlock.example/godwitlock/topo"
 	"godwitlock.example/godwitlock/view"
 )
 
@@ -21,6 +23,18 @@
 	return out, snap.ServersVersion
 }
 
+// logEjection logs that a server was ejected from its pool, because it fails more of its
+// requests than its peers, or that it was readmitted.
+func (n *Node) logEjection(pool string, server topo.ServerID, state health.State) {
+	name := "server_readmitted"
+	if state.Ejected {
+		name = "server_ejected"
+	}
+	n.metrics.Count("server_ejections", "event", name)
+	n.log.Event(name).Str("pool", pool).Str("server", string(server)).Float64("slowness", state.Slowness).
+		Float64("failure_share", state.FailureShare).Send()
+}
+
 func permitServer(snap *view.Snapshot, s *directory.Server) permit.Server {
 	out := permit.Server{ID: s.ID, DataCentre: s.DataCentre, Slots: s.Slots, ColdUntil: s.SeenAt.Add(s.ColdFor)}
 	if svc := snap.Routes.Service(s.Service); svc != nil {
--- a/node/settings.go
+++ b/node/settings.go
@@ -26,6 +26,9 @@
 	MaxFiles    int
 	// CPUShare is the share of one CPU core that the VM has; 0 means a whole core.
 	CPUShare float64
+	// EjectServers says that servers of a pool which fail much more often than their
+	// peers get only probes.
+	EjectServers bool
 	// Bootstrap says that the whole system starts for the first time.
 	Bootstrap bool
 	Bounds    Bounds
--- a/permit/pool.go
+++ b/permit/pool.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"godwitlock.example/godwitlock/health"
 	"godwitlock.example/godwitlock/topo"
 	"godwitlock.example/godwitlock/workload"
 )
@@ -43,6 +44,8 @@
 	// ObjectiveBy is when the response is due for its full value, and AnswerBy when it
 	// is due at all. A zero time means that it is not known.
 	ObjectiveBy, AnswerBy time.Time
+	// Repeatable says that the request may run more than once.
+	Repeatable bool
 	// Lease is the time after which the slot is freed even if the request was
 	// not reported as finished.
 	Lease time.Duration
@@ -87,14 +90,9 @@
 	Full bool
 	// Failed is set if the server could not be reached or did not answer.
 	Failed bool
-	// Work is the expected service time of the request; 0 if it is not known.
-	Work time.Duration
 	// Slowdown is how long work takes at the server at present, relative to the usual
 	// time; 0 if the server did not report it.
 	Slowdown float64
-	// TimedOut is set if the server had the request until its deadline and did not
-	// respond.
-	TimedOut bool
 }
 
 // Pool is a set of interchangeable servers with one queue.
@@ -104,6 +102,10 @@
 	runningAt map[uint64]*server
 	queue     *queue
 	usage     *customerUsage
+	// health judges the servers beside each other, and meanWork is the mean service
+	// time of their requests.
+	health   *health.Set
+	meanWork time.Duration
 	// arrivalRate is the rate of offered requests.
 	arrivalRate arrivalRate
 	// lastSweep is the time of the last pass over all queued requests.
@@ -112,6 +114,15 @@
 	lastExpiry  time.Time
 	rng         *rand.Rand
 	slotDivisor int
+
+	// onEjection is called when a server is ejected or readmitted.
+	onEjection func(topo.ServerID, health.State)
+}
+
+// EjectServers makes the pool eject servers that fail much more often than their peers.
+// It calls onEjection when the ejection of a server begins or ends.
+func (p *Pool) EjectServers(onEjection func(topo.ServerID, health.State)) {
+	p.health.Ejects, p.onEjection = true, onEjection
 }
 
 // New returns a pool without servers. slotDivisor divides the slots and the cold
@@ -121,6 +132,7 @@
 	usage := newUsage()
 	return &Pool{
 		servers: make(map[topo.ServerID]*server), runningAt: make(map[uint64]*server), queue: newQueue(usage), usage: usage, rng: rng, slotDivisor: slotDivisor,
+		health: health.NewSet(), meanWork: initialServiceTime,
 	}
 }
 
@@ -137,10 +149,12 @@
 			continue
 		}
 		p.servers[e.ID] = newServer(e, now)
+		p.health.Add(e.ID)
 	}
 	for id, s := range p.servers {
 		if !keep[id] {
 			delete(p.servers, id)
+			p.health.Remove(id)
 			for request := range s.running {
 				delete(p.runningAt, request)
 			}
@@ -193,10 +207,35 @@
 
 // Finish frees the slot of a granted request and records its result.
 func (p *Pool) Finish(now time.Time, id uint64, r Result) {
-	if s := p.runningAt[id]; s != nil {
-		delete(p.runningAt, id)
-		s.finish(now, id, r)
+	s := p.runningAt[id]
+	if s == nil {
+		return
+	}
+	delete(p.runningAt, id)
+	if r.Failed || r.ServiceTime > 0 {
+		p.observe(now, s, s.running[id], r)
+	}
+	s.finish(now, id, r)
+}
+
+// observe records what the outcome of a request says about its server.
+func (p *Pool) observe(now time.Time, s *server, lease slotLease, r Result) {
+	o := health.Observation{Failed: r.Failed, Slowdown: r.Slowdown}
+	if r.ServiceTime > 0 {
+		o.Relative = r.ServiceTime.Seconds() / lease.work.Seconds()
+		p.meanWork += time.Duration(meanWorkWeight * float64(r.ServiceTime-p.meanWork))
 	}
+	if p.health.Record(now, s.ID, o) && p.onEjection != nil {
+		p.onEjection(s.ID, p.health.State(now, s.ID, health.Running{}))
+	}
+}
+
+// work returns the expected service time of a request at a server of average speed.
+func (p *Pool) work(r Request) time.Duration {
+	if r.Work.Mean > 0 {
+		return r.Work.Mean
+	}
+	return p.meanWork
 }
 
 // Tick grants free slots to queued requests and refuses those that can no longer
@@ -268,15 +307,27 @@
 }
 
 // choose returns the server with the lowest cost among those that can start the
-// request at now; nil if there is none.
+// request at now; nil if there is none. A server that is in doubt is chosen only if it
+// is due for a probe; since at most a third of the servers are ejected, the others carry
+// the load.
 func (p *Pool) choose(now time.Time, r Request) *server {
 	var best *server
 	var bestCost float64
+	work := p.work(r)
 	for _, s := range p.servers {
 		if !s.canStart(now) || slices.Contains(r.Excluded, s.ID) || slices.Contains(r.Avoid, s.ID) && len(p.servers) > len(r.Avoid) {
 			continue
 		}
-		if cost := s.cost(now, r); best == nil || cost < bestCost || cost == bestCost && s.ID < best.ID {
+		state := p.health.State(now, s.ID, s.load(now))
+		if state.Ejected && !state.MayProbe(now, r.Repeatable) {
+			continue
+		}
+		cost := s.cost(now, r, work, state.Slowness)
+		if state.Ejected {
+			// A probe that is due goes first.
+			cost = 0
+		}
+		if best == nil || cost < bestCost || cost == bestCost && s.ID < best.ID {
 			best, bestCost = s, cost
 		}
 	}
@@ -289,10 +340,14 @@
 // are busy or much slower.
 const crossDataCentreCostFactor = 3
 
-// cost returns the expected time of a request at the server, in seconds,
-// weighted for servers that are cold or in another data centre.
-func (s *server) cost(now time.Time, r Request) float64 {
-	c := s.serviceTime.Seconds() * (1 + float64(len(s.running))/float64(s.slots()))
+// meanWorkWeight is the weight of a new response in the mean service time of a pool.
+const meanWorkWeight = 0.02
+
+// cost returns the expected time of a request at the server, in seconds, weighted for
+// servers that are cold or in another data centre. work is the expected service time of
+// the request at a server of average speed, and slowness that of the server relative to it.
+func (s *server) cost(now time.Time, r Request, work time.Duration, slowness float64) float64 {
+	c := work.Seconds() * slowness * (1 + float64(len(s.running))/float64(s.slots()))
 	if s.DataCentre != r.DataCentre {
 		c *= crossDataCentreCostFactor
 	}
@@ -318,7 +373,8 @@
 }
 
 func (p *Pool) grant(now time.Time, r Request, s *server) Decision {
-	s.start(now, r.ID, r.Lease)
+	s.start(now, r.ID, p.work(r), r.Lease)
+	p.health.ProbeStarted(now, s.ID)
 	p.runningAt[r.ID] = s
 	p.usage.add(r.Customer, s.serviceTime)
 	return Decision{ID: r.ID, Verdict: Granted, Server: s.ID}
--- a/permit/server.go
+++ b/permit/server.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"godwitlock.example/godwitlock/health"
 	"godwitlock.example/godwitlock/topo"
 )
 
@@ -18,8 +19,11 @@
 	stallFactor  = 6
 	minStallTime = time.Second
 	// suspectAfterFailures is the number of consecutive failures after which a
-	// server is suspect.
-	suspectAfterFailures = 2
+	// server is suspect, unless it has answered within recentAnswer: a server that
+	// fails only a part of its requests serves its keys better than a refusal does.
+	// With suspectDespiteAnswers failures in a row it is suspect in any case.
+	suspectAfterFailures, suspectDespiteAnswers = 2, 6
+	recentAnswer                                = 400 * time.Millisecond
 	// probeInterval is the minimum time between two requests to a suspect
 	// server.
 	probeInterval = 400 * time.Millisecond
@@ -48,6 +52,8 @@
 	// expiry is when the slot is freed even if the request was not reported as
 	// finished.
 	expiry time.Time
+	// work is the expected service time at a server of average speed.
+	work time.Duration
 }
 
 // server is the state of a backend server: its running requests and its observed
@@ -58,8 +64,11 @@
 	inFlightLimit float64
 	serviceTime   time.Duration
 	lastAnswer    time.Time
-	failures      int
-	lastStart     time.Time
+	// lastSuccess is when the server last answered a request; unlike lastAnswer, the
+	// start of a request does not change it.
+	lastSuccess time.Time
+	failures    int
+	lastStart   time.Time
 	// coldBucket is the number of tokens that the bucket of a cold server had
 	// at coldRefilledAt.
 	coldBucket     float64
@@ -82,6 +91,12 @@
 	s.Server = e
 }
 
+// suspect reports whether the server has failed its last requests and should get only
+// probes.
+func (s *server) suspect(now time.Time) bool {
+	return s.failures >= suspectDespiteAnswers || s.failures >= suspectAfterFailures && now.Sub(s.lastSuccess) > recentAnswer
+}
+
 // isCold reports whether the rate limit of a cold server applies.
 func (s *server) isCold(now time.Time) bool { return s.ColdRate > 0 && now.Before(s.ColdUntil) }
 
@@ -93,7 +108,7 @@
 	if len(s.running) >= s.slots() {
 		return false
 	}
-	if s.failures >= suspectAfterFailures && now.Sub(s.lastStart) < probeInterval {
+	if s.suspect(now) && now.Sub(s.lastStart) < probeInterval {
 		return false
 	}
 	return !s.isCold(now) || s.coldTokens(now) >= 1
@@ -103,8 +118,9 @@
 	return min(coldBurst, s.coldBucket+s.ColdRate*max(0, now.Sub(s.coldRefilledAt).Seconds()))
 }
 
-// start takes a slot for a request; lease bounds how long it stays taken.
-func (s *server) start(now time.Time, id uint64, lease time.Duration) {
+// start takes a slot for a request with the given expected service time; lease bounds how
+// long the slot stays taken.
+func (s *server) start(now time.Time, id uint64, work, lease time.Duration) {
 	if s.isCold(now) {
 		s.coldBucket, s.coldRefilledAt = s.coldTokens(now)-1, now
 	}
@@ -112,13 +128,13 @@
 		s.lastAnswer = now
 	}
 	s.lastStart = now
-	s.running[id] = slotLease{since: now, expiry: now.Add(lease)}
+	s.running[id] = slotLease{since: now, expiry: now.Add(lease), work: work}
 }
 
 // stalled reports whether the server is suspect, or has all slots taken and has
 // not answered for the stall time.
 func (s *server) stalled(now time.Time) bool {
-	if s.failures >= suspectAfterFailures {
+	if s.suspect(now) {
 		return true
 	}
 	stallTime := max(minStallTime, stallFactor*s.serviceTime)
@@ -139,12 +155,22 @@
 		s.failures = 0
 		s.inFlightLimit = max(1, s.inFlightLimit-limitDecrease)
 	case r.ServiceTime > 0:
-		s.failures, s.lastAnswer = 0, now
+		s.failures, s.lastAnswer, s.lastSuccess = 0, now, now
 		s.inFlightLimit = min(float64(s.Slots), s.inFlightLimit+limitIncrease)
 		s.serviceTime += time.Duration(serviceTimeWeight * float64(r.ServiceTime-s.serviceTime))
 	}
 }
 
+// load sums up the running requests.
+func (s *server) load(now time.Time) health.Running {
+	r := health.Running{Count: len(s.running)}
+	for _, lease := range s.running {
+		r.Expected += lease.work
+		r.Elapsed += now.Sub(lease.since)
+	}
+	return r
+}
+
 // expire frees the slots whose lease has expired, counts each as a failure and calls
 // expired with its request.
 func (s *server) expire(now time.Time, expired func(id uint64)) {
