configcheck, cli: check a configuration before it is sent

Cause: operators see only after the fact that an entry never matches or that limits contradict each other, and nothing shows what a new version changes.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -98,7 +98,7 @@
 
 func commands(stdout, stderr io.Writer) []*command {
 	list := []*command{
-		checkCommand(), diffCommand(), applyCommand(), proveCommand(), promoteCommand(), rollbackCommand(),
+		checkCommand(), checkConfigCommand(), diffCommand(), applyCommand(), proveCommand(), promoteCommand(), rollbackCommand(),
 		statusCommand(), ownerCommand(), dataCentreCommand(), drainCommand(), auditCommand(),
 		customerCommand(), callerKeyCommand(), boundCommand(),
 	}
