--- a/broker/broker.go
+++ b/broker/broker.go
@@ -35,6 +35,10 @@
 	// be set before the broker is used and must not call the broker.
 	OnEjection func(pool string, server topo.ServerID, state health.State)
 
+	// MaxHeldBytes, unless 0, bounds the size of the bodies that the requests at one
+	// server may have together. It must be set before the broker is used.
+	MaxHeldBytes int64
+
 	// wake tells Run that a request was queued.
 	wake chan struct{}
 
@@ -104,6 +108,7 @@
 		if b.OnEjection != nil {
 			p.EjectServers(func(id topo.ServerID, state health.State) { b.OnEjection(name, id, state) })
 		}
+		p.BoundHeldBytes(b.MaxHeldBytes)
 		b.pools[name] = p
 	}
 	p.lastUsed = now
@@ -204,3 +209,14 @@
 	}
 	return waiting, running
 }
+
+// HeldBytes returns the size of the bodies of the requests that hold slots, over all pools.
+func (b *Broker) HeldBytes() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := int64(0)
+	for _, p := range b.pools {
+		n += p.HeldBytes()
+	}
+	return n
+}
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -89,7 +89,7 @@
 	r := permit.Request{
 		Customer: topo.CustomerID(req.GetCustomer()), Priority: int(req.GetPriority()),
 		StartBy: now.Add(millis(req.GetPatienceMs())), PromptBy: now.Add(millis(req.GetPromptMs())),
-		Repeatable: req.GetRepeatable(), Lease: millis(req.GetLeaseMs()), DataCentre: topo.DataCentreName(req.GetDataCentre()),
+		Repeatable: req.GetRepeatable(), Bytes: max(req.GetBodyBytes(), 0), Lease: millis(req.GetLeaseMs()), DataCentre: topo.DataCentreName(req.GetDataCentre()),
 	}
 	for _, id := range req.GetAvoid() {
 		r.Avoid = append(r.Avoid, topo.ServerID(id))
--- a/fleet/slots.go
+++ b/fleet/slots.go
@@ -174,7 +174,7 @@
 	out := &fleetpb.AcquireRequest{
 		Vm: string(vm), Pool: pool, Priority: int32(r.Priority), Customer: string(r.Customer),
 		PatienceMs: r.StartBy.Sub(now).Milliseconds(), PromptMs: r.PromptBy.Sub(now).Milliseconds(),
-		LeaseMs: r.Lease.Milliseconds(), DataCentre: string(r.DataCentre), Repeatable: r.Repeatable,
+		LeaseMs: r.Lease.Milliseconds(), DataCentre: string(r.DataCentre), Repeatable: r.Repeatable, BodyBytes: r.Bytes,
 	}
 	for _, id := range r.Avoid {
 		out.Avoid = append(out.Avoid, string(id))
--- a/forward/acquire.go
+++ b/forward/acquire.go
@@ -139,7 +139,7 @@
 	slot, d := f.Slots.Acquire(ctx, snap, pool, permit.Request{
 		Customer: r.customerID(), Priority: r.priority(), Avoid: r.triedServers, Excluded: r.paused,
 		StartBy: boot.Add(time.Duration(float64(left) * slotWaitShare)), PromptBy: boot.Add(objectiveLeft / 2),
-		Lease: left + slotLeaseMargin, Repeatable: r.attempts.Repeatable,
+		Lease: left + slotLeaseMargin, Repeatable: r.attempts.Repeatable, Bytes: r.bodyBytes(snap),
 	})
 	if d.Verdict != permit.Granted {
 		reason := "no slot granted in pool " + pool
@@ -169,6 +169,24 @@
 	return grantedServer{Server: server, slot: slot}, nil
 }
 
+// bodyBytes returns the size of the request's body; that of a chunked one, which is not
+// known, is the largest that callers may send, but unknownBodyBytes at most.
+func (r *request) bodyBytes(snap *view.Snapshot) int64 {
+	switch {
+	case r.Stream == nil:
+		return int64(len(r.Body))
+	case r.Length >= 0:
+		return r.Length
+	}
+	if limit := snap.Routes.Limits.BodyBytes; limit > 0 {
+		return min(limit, unknownBodyBytes)
+	}
+	return unknownBodyBytes
+}
+
+// unknownBodyBytes is the size that is assumed for a chunked body.
+const unknownBodyBytes = 1 << 20
+
 // awaitOwner returns the server that owns the request's key, and the snapshot
 // in which it does. While the key is being handed over, it waits as long as
 // changeWait says, unless the service has no usable server. With newOwnerOnly it also
--- a/node/node.go
+++ b/node/node.go
@@ -166,10 +166,13 @@
 	n.egress.OnConnect = func() { n.metrics.Count("server_connections", "", "") }
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	n.broker = broker.New(n.poolServers, 1, rng)
+	n.fallback = broker.New(n.poolServers, fallbackDivisor, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	if n.settings.BoundServerBytes {
+		n.broker.MaxHeldBytes, n.fallback.MaxHeldBytes = maxHeldBytes, maxHeldBytes
+	}
 	if n.settings.EjectServers {
 		n.broker.OnEjection = n.logEjection
 	}
-	n.fallback = broker.New(n.poolServers, fallbackDivisor, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	n.forward = forward.New(forward.Config{
 		View: n.view, DataCentre: n.settings.DataCentre, Egress: n.egress, RateLimiter: n.rates, Stats: n.reports, Log: n.log, Fresh: n.configFresh,
 		Slots:   fleet.NewSlots(n.settings.VM, n.settings.DataCentre, n.peers, n.broker, n.fallback),
@@ -192,6 +195,7 @@
 	n.metrics.Gauge("customers_home", func() float64 { home, _ := n.rates.Customers(); return float64(home) })
 	n.metrics.Gauge("customers_pending", func() float64 { _, pending := n.rates.Customers(); return float64(pending) })
 	n.metrics.Gauge("home_waiting", func() float64 { w, _ := n.broker.Depth(); return float64(w) })
+	n.metrics.Gauge("home_held_bytes", func() float64 { return float64(n.broker.HeldBytes()) })
 	n.metrics.Gauge("home_running", func() float64 { _, r := n.broker.Depth(); return float64(r) })
 }
 
--- a/node/pools.go
+++ b/node/pools.go
@@ -23,6 +23,10 @@
 	return out, snap.ServersVersion
 }
 
+// maxHeldBytes bounds the size of the bodies at one server, over all VMs. The memory of a
+// server is not known; eight bodies of 1 MiB fit, and a longer one is sent alone.
+const maxHeldBytes = 8 << 20
+
 // logEjection logs that a server was ejected from its pool, because it fails more of its
 // requests than its peers, or that it was readmitted.
 func (n *Node) logEjection(pool string, server topo.ServerID, state health.State) {
--- a/node/settings.go
+++ b/node/settings.go
@@ -29,6 +29,9 @@
 	// EjectServers says that servers of a pool which fail much more often than their
 	// peers get only probes.
 	EjectServers bool
+	// BoundServerBytes says that servers crash if the requests that they hold exceed
+	// their memory.
+	BoundServerBytes bool
 	// Bootstrap says that the whole system starts for the first time.
 	Bootstrap bool
 	Bounds    Bounds
--- a/permit/pool.go
+++ b/permit/pool.go
@@ -46,6 +46,8 @@
 	ObjectiveBy, AnswerBy time.Time
 	// Repeatable says that the request may run more than once.
 	Repeatable bool
+	// Bytes is the size of the request's body.
+	Bytes int64
 	// Lease is the time after which the slot is freed even if the request was
 	// not reported as finished.
 	Lease time.Duration
@@ -114,11 +116,18 @@
 	lastExpiry  time.Time
 	rng         *rand.Rand
 	slotDivisor int
+	// maxHeldBytes is the bound of each server; 0 for none.
+	maxHeldBytes int64
 
 	// onEjection is called when a server is ejected or readmitted.
 	onEjection func(topo.ServerID, health.State)
 }
 
+// BoundHeldBytes bounds the size of the bodies that the requests at one server may have
+// together, so that the server does not run out of memory. It must be called before
+// SetServers.
+func (p *Pool) BoundHeldBytes(perServer int64) { p.maxHeldBytes = perServer / int64(p.slotDivisor) }
+
 // EjectServers makes the pool eject servers that fail much more often than their peers.
 // It calls onEjection when the ejection of a server begins or ends.
 func (p *Pool) EjectServers(onEjection func(topo.ServerID, health.State)) {
@@ -149,6 +158,7 @@
 			continue
 		}
 		p.servers[e.ID] = newServer(e, now)
+		p.servers[e.ID].maxHeldBytes = p.maxHeldBytes
 		p.health.Add(e.ID)
 	}
 	for id, s := range p.servers {
@@ -172,6 +182,15 @@
 	return len(p.runningAt)
 }
 
+// HeldBytes returns the size of the bodies of the requests that hold slots.
+func (p *Pool) HeldBytes() int64 {
+	n := int64(0)
+	for _, s := range p.servers {
+		n += s.heldBytes
+	}
+	return n
+}
+
 // Waiting returns the number of queued requests.
 func (p *Pool) Waiting() int { return p.queue.Len() }
 
@@ -315,7 +334,7 @@
 	var bestCost float64
 	work := p.work(r)
 	for _, s := range p.servers {
-		if !s.canStart(now) || slices.Contains(r.Excluded, s.ID) || slices.Contains(r.Avoid, s.ID) && len(p.servers) > len(r.Avoid) {
+		if !s.canStart(now) || !s.fits(r.Bytes) || slices.Contains(r.Excluded, s.ID) || slices.Contains(r.Avoid, s.ID) && len(p.servers) > len(r.Avoid) {
 			continue
 		}
 		state := p.health.State(now, s.ID, s.load(now))
@@ -373,7 +392,7 @@
 }
 
 func (p *Pool) grant(now time.Time, r Request, s *server) Decision {
-	s.start(now, r.ID, p.work(r), r.Lease)
+	s.start(now, r, p.work(r))
 	p.health.ProbeStarted(now, s.ID)
 	p.runningAt[r.ID] = s
 	p.usage.add(r.Customer, s.serviceTime)
--- a/permit/pool_test.go
+++ b/permit/pool_test.go
@@ -304,3 +304,26 @@
 	require.LessOrEqual(t, latest, left/3)
 	require.Greater(t, latest-earliest, left/6)
 }
+
+// Guards against a server that crashes because the bodies of the requests that it holds
+// exceed its memory: what does not fit waits or goes to another server.
+func TestHeldBytesAreBounded(t *testing.T) {
+	p := New(rand.New(rand.NewPCG(1, 2)), 1)
+	p.BoundHeldBytes(100)
+	p.SetServers(start, []Server{{ID: "a", Slots: 4}, {ID: "b", Slots: 4}})
+	body := func(id uint64, bytes int64) Decision {
+		r := request(id, start)
+		r.Bytes = bytes
+		return p.Offer(start, r)
+	}
+	first, second := body(1, 150), body(2, 60)
+	require.Equal(t, Granted, first.Verdict, "a body above the bound is sent alone")
+	require.Equal(t, Granted, second.Verdict)
+	require.NotEqual(t, first.Server, second.Server)
+	require.Equal(t, Queued, body(3, 60).Verdict)
+	p.Finish(start, 1, Result{ServiceTime: 10 * time.Millisecond})
+	decisions := p.Tick(start.Add(sweepInterval))
+	require.Len(t, decisions, 1)
+	require.Equal(t, first.Server, decisions[0].Server)
+	require.Equal(t, Granted, body(4, 0).Verdict, "a request without a body needs no room")
+}
--- a/permit/server.go
+++ b/permit/server.go
@@ -54,16 +54,21 @@
 	expiry time.Time
 	// work is the expected service time at a server of average speed.
 	work time.Duration
+	// bytes is the size of the request's body.
+	bytes int64
 }
 
 // server is the state of a backend server: its running requests and its observed
 // behaviour.
 type server struct {
 	Server
-	running       map[uint64]slotLease
-	inFlightLimit float64
-	serviceTime   time.Duration
-	lastAnswer    time.Time
+	running map[uint64]slotLease
+	// heldBytes is the size of the bodies of the running requests, and maxHeldBytes its
+	// bound; 0 means no bound.
+	heldBytes, maxHeldBytes int64
+	inFlightLimit           float64
+	serviceTime             time.Duration
+	lastAnswer              time.Time
 	// lastSuccess is when the server last answered a request; unlike lastAnswer, the
 	// start of a request does not change it.
 	lastSuccess time.Time
@@ -114,13 +119,18 @@
 	return !s.isCold(now) || s.coldTokens(now) >= 1
 }
 
+// fits reports whether the server has room for a request's body. A body that exceeds the
+// bound alone fits while no other one is held.
+func (s *server) fits(bytes int64) bool {
+	return s.maxHeldBytes == 0 || bytes == 0 || s.heldBytes == 0 || s.heldBytes+bytes <= s.maxHeldBytes
+}
+
 func (s *server) coldTokens(now time.Time) float64 {
 	return min(coldBurst, s.coldBucket+s.ColdRate*max(0, now.Sub(s.coldRefilledAt).Seconds()))
 }
 
-// start takes a slot for a request with the given expected service time; lease bounds how
-// long the slot stays taken.
-func (s *server) start(now time.Time, id uint64, work, lease time.Duration) {
+// start takes a slot for a request with the given expected service time.
+func (s *server) start(now time.Time, r Request, work time.Duration) {
 	if s.isCold(now) {
 		s.coldBucket, s.coldRefilledAt = s.coldTokens(now)-1, now
 	}
@@ -128,7 +138,8 @@
 		s.lastAnswer = now
 	}
 	s.lastStart = now
-	s.running[id] = slotLease{since: now, expiry: now.Add(lease), work: work}
+	s.heldBytes += r.Bytes
+	s.running[r.ID] = slotLease{since: now, expiry: now.Add(r.Lease), work: work, bytes: r.Bytes}
 }
 
 // stalled reports whether the server is suspect, or has all slots taken and has
@@ -144,10 +155,9 @@
 // finish frees the slot of a request and updates the failure count, the
 // in-flight limit and the mean service time from its result.
 func (s *server) finish(now time.Time, id uint64, r Result) {
-	if _, ok := s.running[id]; !ok {
+	if !s.release(id) {
 		return
 	}
-	delete(s.running, id)
 	switch {
 	case r.Failed:
 		s.failures++
@@ -161,6 +171,16 @@
 	}
 }
 
+// release frees the slot of a request. It returns false if the request has none.
+func (s *server) release(id uint64) bool {
+	lease, ok := s.running[id]
+	if ok {
+		delete(s.running, id)
+		s.heldBytes -= lease.bytes
+	}
+	return ok
+}
+
 // load sums up the running requests.
 func (s *server) load(now time.Time) health.Running {
 	r := health.Running{Count: len(s.running)}
@@ -176,7 +196,7 @@
 func (s *server) expire(now time.Time, expired func(id uint64)) {
 	for id, lease := range s.running {
 		if now.After(lease.expiry) {
-			delete(s.running, id)
+			s.release(id)
 			expired(id)
 			s.failures++
 		}
