--- a/health/health.go
+++ b/health/health.go
@@ -37,9 +37,9 @@
 	failureWeight   = 0.15
 	failureHalfLife = 4 * time.Second
 	// A server is ejected if its share of failures is at least minFailureShare and
-	// peerFactor times the mean share of its peers. A single failure among successes
-	// does not reach minFailureShare.
-	minFailureShare, peerFactor = 0.25, 3.0
+	// peerFactor times the mean share of its peers. Two failures among successes, such as
+	// requests with unusually much work, do not reach minFailureShare.
+	minFailureShare, peerFactor = 0.35, 3.0
 	// maxEjectedShare bounds the ejected servers, as a fraction of the pool, so that
 	// the others can carry the load.
 	maxEjectedShare = 1.0 / 3
@@ -56,6 +56,8 @@
 
 // Observation is the outcome of a request at a server.
 type Observation struct {
+	// Sent is when the request was sent.
+	Sent time.Time
 	// Failed is set if there was no response, or the server failed the request.
 	Failed bool
 	// Relative is the service time divided by the expected one; 0 if it is not known.
@@ -161,7 +163,7 @@
 	r.failures, r.failuresAt = r.failureShare(now), now
 	r.failures += failureWeight * (outcome - r.failures)
 	if r.ejected {
-		return s.judgeProbe(now, r, o.Failed)
+		return s.judgeProbe(now, r, o)
 	}
 	if s.Ejects && o.Failed && s.standsOut(now, r) && float64(s.ejected+1) <= maxEjectedShare*float64(len(s.records)) {
 		s.eject(now, r)
@@ -171,9 +173,12 @@
 }
 
 // judgeProbe applies the outcome of a request at an ejected server. Requests that were
-// sent before the ejection count as well.
-func (s *Set) judgeProbe(now time.Time, r *record, failed bool) (readmitted bool) {
-	if failed {
+// sent before the ejection say nothing new: the slow and failing ones end last.
+func (s *Set) judgeProbe(now time.Time, r *record, o Observation) (readmitted bool) {
+	if o.Sent.Before(r.lastEjection) {
+		return false
+	}
+	if o.Failed {
 		r.successes, r.nextProbe = 0, now.Add(r.ejectionTime())
 		return false
 	}
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -27,7 +27,7 @@
 	for range n {
 		now = now.Add(10 * time.Millisecond)
 		for _, id := range ids {
-			s.Record(now, id, Observation{Failed: rng.Float64() < failing[id], Relative: 1})
+			s.Record(now, id, Observation{Sent: now, Failed: rng.Float64() < failing[id], Relative: 1})
 		}
 	}
 	return now
@@ -59,7 +59,7 @@
 	s := newSet(ids...)
 	for _, id := range ids[:4] {
 		for i := range 20 {
-			s.Record(start.Add(time.Duration(i)*time.Millisecond), id, Observation{Failed: true})
+			s.Record(start.Add(time.Duration(i)*time.Millisecond), id, Observation{Sent: start, Failed: true})
 		}
 	}
 	require.Equal(t, 2, s.Ejected())
@@ -73,18 +73,33 @@
 	for range 3 {
 		for !s.State(now, "a", Running{}).Ejected {
 			now = now.Add(10 * time.Millisecond)
-			s.Record(now, "a", Observation{Failed: true})
+			s.Record(now, "a", Observation{Sent: now, Failed: true})
 		}
 		waits = append(waits, s.State(now, "a", Running{}).NextProbe.Sub(now))
 		now = s.State(now, "a", Running{}).NextProbe
 		for range probationSuccesses {
-			s.Record(now, "a", Observation{Relative: 1})
+			s.Record(now, "a", Observation{Sent: now, Relative: 1})
 		}
 		require.False(t, s.State(now, "a", Running{}).Ejected)
 	}
 	require.Equal(t, []time.Duration{time.Second, 2 * time.Second, 4 * time.Second}, waits)
 }
 
+// Guards against readmitting a server because of requests that were sent before its
+// ejection: those that the server answers end before those that it does not.
+func TestEarlierRequestsDoNotReadmit(t *testing.T) {
+	s := newSet("a", "b", "c")
+	now := start
+	for !s.State(now, "a", Running{}).Ejected {
+		now = now.Add(10 * time.Millisecond)
+		s.Record(now, "a", Observation{Sent: now, Failed: true})
+	}
+	for range 2 * probationSuccesses {
+		s.Record(now, "a", Observation{Sent: start, Relative: 1})
+	}
+	require.True(t, s.State(now, "a", Running{}).Ejected)
+}
+
 // Guards against probing an ejected server with a request that must not be repeated when
 // a repeatable one may come soon.
 func TestNonRepeatableProbesWait(t *testing.T) {
--- a/permit/pool.go
+++ b/permit/pool.go
@@ -239,7 +239,7 @@
 
 // observe records what the outcome of a request says about its server.
 func (p *Pool) observe(now time.Time, s *server, lease slotLease, r Result) {
-	o := health.Observation{Failed: r.Failed, Slowdown: r.Slowdown}
+	o := health.Observation{Sent: lease.since, Failed: r.Failed, Slowdown: r.Slowdown}
 	if r.ServiceTime > 0 {
 		o.Relative = r.ServiceTime.Seconds() / lease.work.Seconds()
 		p.meanWork += time.Duration(meanWorkWeight * float64(r.ServiceTime-p.meanWork))
