forward, fleet, node: the leader learns which servers refuse regardless of their load

Cause: the plan leaves the keys of such servers where they are, but nothing told it which they are: the field Work.turned_away was not filled. Change: forward.Stats has TurnedAway, called once per refusal in sendOnce with whether the server reported free slots; reports sum up those with free slots, and fleet.Loads passes them to the placement.

--- a/fleet/hub.go
+++ b/fleet/hub.go
@@ -28,6 +28,8 @@
 	Count(service topo.ServiceName, key keyrange.Key, n float64)
 	// Answered records n responses of a server and their mean processing time.
 	Answered(id topo.ServerID, n int, mean time.Duration)
+	// TurnedAway records n requests that a server refused although it had free slots.
+	TurnedAway(id topo.ServerID, n int)
 }
 
 // Hub distributes the leader's state to the VMs that follow it, and tracks these
@@ -336,6 +338,7 @@
 	}
 	for _, w := range req.GetWork() {
 		h.loads.Answered(topo.ServerID(w.GetServer()), int(w.GetAnswers()), micros(w.GetMeanUs()))
+		h.loads.TurnedAway(topo.ServerID(w.GetServer()), int(w.GetTurnedAway()))
 	}
 	return &fleetpb.ReportResponse{Leads: true, Term: uint64(term)}
 }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -195,6 +195,7 @@
 			res.outcome = NotOwner
 		}
 		server.slot.Finish(permit.Result{Full: res.outcome == Rejected && atCapacity(resp)})
+		f.Stats.TurnedAway(server.ID, res.outcome == Rejected && !atCapacity(resp))
 		return res
 	}
 	f.readAnswer(ctx, r, server, res)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -59,6 +59,9 @@
 	Arrived(service topo.ServiceName, key keyrange.Key)
 	// Completed records the service time of a request at a server.
 	Completed(server topo.ServerID, d time.Duration)
+	// TurnedAway records that a server refused a request without running it, and
+	// whether it did so although it had free slots.
+	TurnedAway(server topo.ServerID, hadFreeSlots bool)
 	// Answered records an answer to a caller. kind is "served" or the name of
 	// the error kind, and d is the time since the request arrived.
 	Answered(route string, kind string, d time.Duration)
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -88,6 +88,7 @@
 
 func (fakeStats) Arrived(topo.ServiceName, keyrange.Key)       {}
 func (fakeStats) Completed(topo.ServerID, time.Duration)       {}
+func (fakeStats) TurnedAway(topo.ServerID, bool)               {}
 func (fakeStats) Answered(route, kind string, d time.Duration) {}
 
 // testForwarder is a Forwarder in front of one server.
--- a/node/loads.go
+++ b/node/loads.go
@@ -58,3 +58,10 @@
 		l.withLoad(s.Service, func(svcLoad *placement.Load) { svcLoad.RecordResponses(id, n, mean) })
 	}
 }
+
+// TurnedAway implements fleet.Loads.
+func (l *loads) TurnedAway(id topo.ServerID, n int) {
+	if s := l.view.Snapshot().Servers[id]; s != nil && n > 0 {
+		l.withLoad(s.Service, func(svcLoad *placement.Load) { svcLoad.RecordTurnedAway(id, n) })
+	}
+}
--- a/node/reports.go
+++ b/node/reports.go
@@ -22,10 +22,11 @@
 	reportIntervalPerVM = time.Millisecond
 )
 
-// serverWork sums up the responses of a server since the last report.
+// serverWork sums up the responses of a server since the last report, and the requests
+// that it turned away although it had free slots.
 type serverWork struct {
-	responses int
-	total     time.Duration
+	responses, turnedAway int
+	total                 time.Duration
 }
 
 // reports collects the load figures that this VM reports to the leader. It
@@ -68,6 +69,18 @@
 	r.work[server] = w
 }
 
+// TurnedAway implements forward.Stats.
+func (r *reports) TurnedAway(server topo.ServerID, hadFreeSlots bool) {
+	if !hadFreeSlots {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.work[server]
+	w.turnedAway++
+	r.work[server] = w
+}
+
 // Answered implements forward.Stats.
 func (r *reports) Answered(route, kind string, d time.Duration) {
 	r.metrics.RecordResponse(route, kind, d)
@@ -87,7 +100,7 @@
 	}
 	for id, w := range r.work {
 		mean := w.total / time.Duration(max(1, w.responses))
-		req.Work = append(req.Work, &fleetpb.Work{Server: string(id), Answers: uint32(w.responses), MeanUs: mean.Microseconds()})
+		req.Work = append(req.Work, &fleetpb.Work{Server: string(id), Answers: uint32(w.responses), MeanUs: mean.Microseconds(), TurnedAway: uint32(w.turnedAway)})
 	}
 	clear(r.loads)
 	clear(r.work)
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -182,6 +182,7 @@
 
 func (noStats) Arrived(topo.ServiceName, keyrange.Key) {}
 func (noStats) Completed(topo.ServerID, time.Duration) {}
+func (noStats) TurnedAway(topo.ServerID, bool)         {}
 func (noStats) Answered(string, string, time.Duration) {}
 
 // Guards against cut connections that look alike whether they were idle or a
