--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -210,7 +210,8 @@
 			res.outcome = NotOwner
 		}
 		res.hadRoom = res.outcome == Rejected && !atCapacity(resp)
-		server.slot.Finish(permit.Result{Full: res.outcome == Rejected && atCapacity(resp), Slowdown: slowdown(resp)})
+		server.slot.Finish(permit.Result{Full: res.outcome == Rejected && !res.hadRoom, Slowdown: slowdown(resp)})
+		f.Stats.TurnedAway(server.ID, res.hadRoom)
 		return res
 	}
 	f.readAnswer(ctx, r, server, res)
