ingress: a streamed answer that breaks off keeps the answers behind it

Change: while answers are owed behind a streamed one, it is read to its end before its first byte is written (1 MiB each, 8 MiB beyond 64 KiB each in a process), and becomes a 502 if it breaks off. Behind an answer that is written as it arrives no request is started. The case source_failed of TestDropCauses took the loss for granted with an empty body; it now uses a body that is longer than what is held back, with the same requirements.

--- a/ingress/dropped_test.go
+++ b/ingress/dropped_test.go
@@ -116,6 +116,8 @@
 
 // Guards against dropped answers without a cause, or with a wrong one.
 func TestDropCauses(t *testing.T) {
+	broken := make(chan struct{})
+	close(broken)
 	for _, c := range []struct {
 		cause  DropCause
 		err    error
@@ -127,7 +129,8 @@
 		{CallerDisconnected, io.EOF, 0, nil, func(client net.Conn) error { return client.Close() }},
 		{WriteTimeout, nil, 200, textResponse(200, "x"), func(net.Conn) error { time.Sleep(2 * writeTimeout); return nil }},
 		{WriteFailed, errBroken, 200, textResponse(200, "x"), drain},
-		{SourceFailed, io.ErrUnexpectedEOF, 200, &Response{Status: 200, Stream: &brokenBody{}, Length: -1}, drain},
+		// A shorter answer that breaks off with others behind it becomes a 502.
+		{SourceFailed, io.ErrUnexpectedEOF, 200, &Response{Status: 200, Stream: &breakingBody{size: 2 * maxHeldBackBytes, gate: broken}, Length: -1}, drain},
 		{AbortedByHandler, nil, 200, &Response{Status: 200, Abort: true}, drain},
 	} {
 		t.Run(string(c.cause), func(t *testing.T) {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -116,6 +116,9 @@
 	MaxConnections func() int
 	openCount      atomic.Int64
 	bound          bound
+	// heldBack counts the bytes that are reserved for answers that are held back
+	// beyond maxReadAheadBytes.
+	heldBack atomic.Int64
 
 	// serving counts the running calls of Serve.
 	serving atomic.Int32
--- a/ingress/readahead.go
+++ b/ingress/readahead.go
@@ -2,13 +2,23 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 )
 
-// maxReadAheadBytes bounds how much of a streamed answer is read before its turn.
-const maxReadAheadBytes = 64 << 10
+const (
+	// maxReadAheadBytes bounds how much of a streamed answer is read before its turn.
+	maxReadAheadBytes = 64 << 10
+	// maxHeldBackBytes bounds how much of a streamed answer is read before its first
+	// byte is written while other answers are owed behind it.
+	maxHeldBackBytes = 1 << 20
+	// maxAllHeldBackBytes bounds what is held back beyond maxReadAheadBytes on all
+	// connections of a process. The smallest VM has 144 MB.
+	maxAllHeldBackBytes = 8 << 20
+)
 
 // readAhead reads a streamed answer that waits for those before it on its
 // connection. A server would otherwise keep a slot for the answer, which may be
@@ -21,10 +31,13 @@
 	buf     bytes.Buffer
 	err     error
 	closed  bool
+	// limit bounds buf. extra is the part of it that is reserved in held.
+	limit, extra int64
+	held         *atomic.Int64
 }
 
 func newReadAhead(source io.ReadCloser) *readAhead {
-	r := &readAhead{source: source}
+	r := &readAhead{source: source, limit: maxReadAheadBytes}
 	r.changed = sync.NewCond(&r.mu)
 	return r
 }
@@ -49,7 +62,7 @@
 	r.buf.Write(data)
 	r.err = err
 	r.changed.Broadcast()
-	for r.buf.Len() >= maxReadAheadBytes && r.err == nil && !r.closed {
+	for int64(r.buf.Len()) >= r.limit && r.err == nil && !r.closed {
 		r.changed.Wait()
 	}
 	return r.err == nil && !r.closed
@@ -74,10 +87,53 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.closed = true
+	if r.held != nil {
+		r.held.Add(-r.extra)
+		r.held = nil
+	}
 	r.changed.Broadcast()
 	return nil
 }
 
+// await waits until the source has ended, the buffer is full or ctx ends, and reports
+// whether the source has ended; with fewer bytes than length, unless that is negative, it
+// has failed. The buffer grows to maxHeldBackBytes as long as all
+// connections together, counted by held, stay within maxAllHeldBackBytes.
+func (r *readAhead) await(ctx context.Context, length int64, held *atomic.Int64) bool {
+	defer context.AfterFunc(ctx, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.changed.Broadcast()
+	})()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for r.err == nil && ctx.Err() == nil {
+		if int64(r.buf.Len()) >= r.limit && !r.grow(held) {
+			break
+		}
+		r.changed.Wait()
+	}
+	if r.err == io.EOF && length >= 0 && int64(r.buf.Len()) != length {
+		r.err = io.ErrUnexpectedEOF
+	}
+	return r.err != nil
+}
+
+// grow raises the limit once. The caller holds mu.
+func (r *readAhead) grow(held *atomic.Int64) bool {
+	const extra = maxHeldBackBytes - maxReadAheadBytes
+	if r.held != nil || r.closed {
+		return false
+	}
+	if held.Add(extra) > maxAllHeldBackBytes {
+		held.Add(-extra)
+		return false
+	}
+	r.held, r.extra, r.limit = held, extra, maxHeldBackBytes
+	r.changed.Broadcast()
+	return true
+}
+
 // failure returns the error with which the source ended, nil if it has not ended or
 // is complete.
 func (r *readAhead) failure() error {
@@ -107,3 +163,24 @@
 	}
 	return statusResponse(http.StatusBadGateway)
 }
+
+// holdBack returns the response to write in the turn of p. A streamed answer that breaks
+// off ends the connection, and answers that are owed behind it would be lost. So while there
+// are such, it is read to its end first, and replaced if it breaks off. One that is too long
+// for that, or that has nothing behind it, is written as it arrives, and no request is
+// started behind it until it has been written.
+func (c *conn) holdBack(p *pendingResponse, resp *Response) *Response {
+	if resp.Stream == nil || resp.Abort || !hasBody(p, resp) || c.state.beginStream(false) {
+		return resp
+	}
+	ahead, ok := resp.Stream.(*readAhead)
+	if !ok {
+		ahead = newReadAhead(resp.Stream)
+		resp.Stream = ahead
+		go ahead.fill()
+	}
+	if !ahead.await(c.ctx, resp.Length, &c.srv.heldBack) {
+		c.state.beginStream(true)
+	}
+	return answerable(resp)
+}
--- a/ingress/state.go
+++ b/ingress/state.go
@@ -30,6 +30,10 @@
 	closing bool
 	// ended says that the last response was chosen, or that writing failed.
 	ended bool
+	// streaming says that the response being written may break off, and with it the
+	// connection. No request is started behind it. streamed is signalled when it ends.
+	streaming bool
+	streamed  sync.Cond
 	// idle says that nothing is owed and that no request is being read. onIdle is
 	// called with each change of it, under mu.
 	idle   bool
@@ -76,11 +80,16 @@
 // start records that a request was read completely, or refused, and what readLoop is
 // to do next. end is the position in the received bytes after the request. It returns
 // what readLoop does: while draining it reads a request behind another one only if
-// its first byte was received before Drain.
+// its first byte was received before Drain. It waits while a response that may break off is
+// being written.
 func (s *connState) start(next readerState, end int64, draining bool) readerState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	defer s.update()
+	s.streamed.L = &s.mu
+	for s.streaming && !s.ended {
+		s.streamed.Wait()
+	}
 	s.unanswered++
 	s.reader = next
 	if next == reading && draining && end >= s.drainedAt {
@@ -100,15 +109,30 @@
 	s.writing = true
 	last := mustEnd || (shouldEnd || s.closing) && s.unanswered == 0 && s.reader != reading
 	s.ended = s.ended || last
+	s.streamed.Broadcast()
 	return last
 }
 
+// beginStream records that a response which may break off is written next, so that no
+// further request is started until endAnswer. It returns false, and changes nothing, if
+// other responses are owed behind it, unless force is set.
+func (s *connState) beginStream(force bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !force && s.unanswered > 1 {
+		return false
+	}
+	s.streaming = true
+	return true
+}
+
 // endAnswer records that a response was written.
 func (s *connState) endAnswer() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	defer s.update()
-	s.writing = false
+	s.writing, s.streaming = false, false
+	s.streamed.Broadcast()
 }
 
 // end records that no further response is written.
@@ -117,6 +141,7 @@
 	defer s.mu.Unlock()
 	defer s.update()
 	s.ended = true
+	s.streamed.Broadcast()
 }
 
 // stopWaiting records that the reader has returned.
--- a/ingress/write.go
+++ b/ingress/write.go
@@ -17,7 +17,7 @@
 		var resp *Response
 		select {
 		case resp = <-p.response:
-			resp = answerable(resp)
+			resp = c.holdBack(p, answerable(resp))
 		case <-c.ctx.Done():
 			// The caller has disconnected. The handler runs with the same context
 			// and returns soon.
@@ -79,7 +79,7 @@
 	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
 	unframed := resp.CloseDelimited && last
 	writeHead(bw, resp, unframed, last)
-	if p.method == http.MethodHead || resp.Status == http.StatusNoContent || resp.Status == http.StatusNotModified {
+	if !hasBody(p, resp) {
 		return bw.Flush()
 	}
 	switch {
@@ -92,6 +92,11 @@
 	return c.writeStream(bw, resp)
 }
 
+// hasBody reports whether the response to p has a body.
+func hasBody(p *pendingResponse, resp *Response) bool {
+	return p.method != http.MethodHead && resp.Status != http.StatusNoContent && resp.Status != http.StatusNotModified
+}
+
 // writeHead writes the status line and header section. The head of an unframed
 // response leaves the end of the body to the close of the connection.
 func writeHead(bw *bufio.Writer, resp *Response, unframed, last bool) {
