permit, node: home VMs ask the health path whether a server is cold

Cause: the rate of a cold server was known only from its entry in the store. Change: the VM that grants the slots of a server asks its health path for Cold-Ms once half of the requests are granted that the server may get without a proof that it is warm (WarmBudget, from coldPerS, warmupOverrun and warmupSlack). Without a proof it grants coldPerS. Health paths that do not answer within 0.2 s three times in a row are not asked for 30 s, and limit nothing before their first prompt answer. Only for services with healthPath and coldPerS and settings with warmupSlack. Cost, computed: a probe for each 5 requests of a server with coldPerS 5.2 and warmupSlack 8, about 400 a second for 300 servers and 2,000 requests a second.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -10,6 +10,7 @@
 
 	"godwitlock.example/godwitlock/clock"
 	"godwitlock.example/godwitlock/permit"
+	"godwitlock.example/godwitlock/topo"
 )
 
 // tickInterval is how often pools with queued requests are processed even if no
@@ -28,6 +29,9 @@
 type Broker struct {
 	servers Servers
 	divisor int
+	// Probe, unless nil, asks a server of a pool how long it stays cold, and gives the
+	// answer to Probed. It must not block, and must be set before the first request.
+	Probe func(pool string, server topo.ServerID)
 
 	// wake tells Run that a request was queued.
 	wake chan struct{}
@@ -68,13 +72,14 @@
 	b.lastID++
 	r.ID = b.lastID
 	d = p.Offer(now, r)
+	b.probe(name, d)
 	if d.Verdict != permit.Queued {
 		b.mu.Unlock()
 		return d, true
 	}
 	ch := make(chan permit.Decision, 1)
 	p.waiters[r.ID] = ch
-	b.tick(p, now)
+	b.tick(name, p, now)
 	b.mu.Unlock()
 	select {
 	case b.wake <- struct{}{}:
@@ -118,7 +123,7 @@
 		delete(p.waiters, id)
 		now := clock.Boot()
 		p.Cancel(now, id)
-		b.tick(p, now)
+		b.tick(name, p, now)
 	}
 }
 
@@ -130,14 +135,34 @@
 	if p := b.pools[name]; p != nil {
 		now := clock.Boot()
 		p.Finish(now, id, r)
-		b.tick(p, now)
+		b.tick(name, p, now)
+	}
+}
+
+// probe asks the server of a decision for its state if that is due. The caller holds b.mu.
+func (b *Broker) probe(name string, d permit.Decision) {
+	if d.Probe && b.Probe != nil {
+		b.Probe(name, d.Server)
+	}
+}
+
+// Probed records the answer to a probe: how long the server stays cold, and whether it
+// answered promptly.
+func (b *Broker) Probed(name string, server topo.ServerID, coldFor time.Duration, prompt bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p := b.pools[name]; p != nil {
+		now := clock.Boot()
+		p.Probed(now, server, coldFor, prompt)
+		b.tick(name, p, now)
 	}
 }
 
 // tick sends new decisions to the requests that wait for them. The caller holds
 // b.mu.
-func (b *Broker) tick(p *pool, now time.Time) {
+func (b *Broker) tick(name string, p *pool, now time.Time) {
 	for _, d := range p.Tick(now) {
+		b.probe(name, d)
 		if ch := p.waiters[d.ID]; ch != nil {
 			delete(p.waiters, d.ID)
 			ch <- d
@@ -175,7 +200,7 @@
 		switch {
 		case p.Waiting() > 0:
 			b.update(p, name, now)
-			b.tick(p, now)
+			b.tick(name, p, now)
 			waiting = waiting || p.Waiting() > 0
 		case now.Sub(p.lastUsed) > idleTTL && p.Idle():
 			delete(b.pools, name)
--- /dev/null
+++ b/node/coldprobe.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"godwitlock.example/godwitlock/broker"
+	"godwitlock.example/godwitlock/permit"
+	"godwitlock.example/godwitlock/topo"
+	"godwitlock.example/godwitlock/view"
+)
+
+// coldProbeTimeout bounds a probe of a health path, which servers that report their load
+// answer at once.
+const coldProbeTimeout = 200 * time.Millisecond
+
+// coldProbe returns a function that asks a server how long it stays cold and gives the
+// answer to b.
+func (n *Node) coldProbe(b *broker.Broker) func(pool string, server topo.ServerID) {
+	return func(pool string, id topo.ServerID) {
+		snap := n.view.Snapshot()
+		s := snap.Servers[id]
+		if s == nil || snap.Routes == nil {
+			return
+		}
+		svc := snap.Routes.Service(s.Service)
+		if svc == nil {
+			return
+		}
+		addr, path := s.Addr, svc.HealthPath
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), coldProbeTimeout)
+			defer cancel()
+			coldFor, err := n.platform.ColdFor(ctx, addr, path, id)
+			result := "warm"
+			switch {
+			case err != nil:
+				result = "no_answer"
+			case coldFor > 0:
+				result = "cold"
+				n.log.Event("server_cold").Str("server", string(id)).Dur("cold_ms", coldFor).Send()
+			}
+			n.metrics.Count("cold_probes", "result", result)
+			b.Probed(pool, id, coldFor, err == nil)
+		}()
+	}
+}
+
+// warmBudget returns how many requests a server may get without a proof that it is warm, or
+// 0 if the service or the settings bound none.
+func (n *Node) warmBudget(snap *view.Snapshot, service topo.ServiceName) int {
+	b := n.bounds()
+	svc := snap.Routes.Service(service)
+	if svc == nil || svc.ColdRate <= 0 || svc.HealthPath == "" || b.ColdSlack <= 0 {
+		return 0
+	}
+	return permit.WarmBudget(svc.ColdRate, b.ColdOverrun, b.ColdSlack)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -167,6 +167,7 @@
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	n.broker = broker.New(n.poolServers, 1, rng)
 	n.fallback = broker.New(n.poolServers, fallbackDivisor, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	n.broker.Probe, n.fallback.Probe = n.coldProbe(n.broker), n.coldProbe(n.fallback)
 	n.forward = forward.New(forward.Config{
 		View: n.view, DataCentre: n.settings.DataCentre, Egress: n.egress, RateLimiter: n.rates, Stats: n.reports, Log: n.log, Fresh: n.configFresh,
 		Slots:   fleet.NewSlots(n.settings.VM, n.settings.DataCentre, n.peers, n.broker, n.fallback),
@@ -277,7 +278,7 @@
 
 // poolServers returns the servers of a slot pool and the version of the list.
 func (n *Node) poolServers(pool string, since uint64) ([]permit.Server, uint64) {
-	return poolServers(n.view.Snapshot(), pool, since)
+	return n.poolServersOf(n.view.Snapshot(), pool, since)
 }
 
 // task is a duty of the process. It runs again when it ends.
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -151,6 +151,9 @@
 func (memPlatform) DecodeServer(store.Object, time.Time) (directory.Server, error) {
 	return directory.Server{}, nil
 }
+func (memPlatform) ColdFor(context.Context, string, string, topo.ServerID) (time.Duration, error) {
+	return 0, nil
+}
 func (memPlatform) SendOrder(context.Context, string, ownership.Order, func() time.Time) (ownership.Outcome, string, error) {
 	return ownership.Done, "", nil
 }
--- a/node/pools.go
+++ b/node/pools.go
@@ -9,14 +9,16 @@
 // poolServers returns the servers whose slots belong to a pool, and the version
 // of the list. The list is nil if the version equals since or no configuration is
 // in force yet.
-func poolServers(snap *view.Snapshot, pool string, since uint64) ([]permit.Server, uint64) {
+func (n *Node) poolServersOf(snap *view.Snapshot, pool string, since uint64) ([]permit.Server, uint64) {
 	if snap.Routes == nil || snap.ServersVersion == since {
 		return nil, snap.ServersVersion
 	}
 	list := snap.PoolServers(pool)
 	out := make([]permit.Server, 0, len(list))
 	for _, s := range list {
-		out = append(out, permitServer(snap, s))
+		e := permitServer(snap, s)
+		e.WarmBudget = n.warmBudget(snap, s.Service)
+		out = append(out, e)
 	}
 	return out, snap.ServersVersion
 }
--- a/node/settings.go
+++ b/node/settings.go
@@ -108,6 +108,9 @@
 	// nor delivered after that. An order that has been given up is not delivered after
 	// SendOrder has returned, but may be on its way.
 	SendOrder(ctx context.Context, addr string, o ownership.Order, leaseEnd func() time.Time) (ownership.Outcome, string, error)
+	// ColdFor asks the health path of the server at addr how long it stays cold; zero if
+	// it is warm.
+	ColdFor(ctx context.Context, addr, path string, server topo.ServerID) (time.Duration, error)
 	// OnServerNotice registers f, which is called with what a server says about
 	// itself in a response to an order. It must be called before SendOrder.
 	OnServerNotice(f func(topo.Incarnation, egress.Notice))
--- a/permit/pool.go
+++ b/permit/pool.go
@@ -72,6 +72,9 @@
 	Verdict Verdict
 	// Server is the server whose slot was granted.
 	Server topo.ServerID
+	// Probe says that the server is to be asked now how long it stays cold. The answer
+	// is given to Pool.Probed.
+	Probe bool
 	// RetryAfter is the delay after which a refused caller should retry.
 	RetryAfter time.Duration
 }
@@ -131,6 +134,9 @@
 	for _, e := range list {
 		e.Slots = max(1, e.Slots/p.slotDivisor)
 		e.ColdRate /= float64(p.slotDivisor)
+		if e.WarmBudget > 0 {
+			e.WarmBudget = max(1, e.WarmBudget/p.slotDivisor)
+		}
 		keep[e.ID] = true
 		if s := p.servers[e.ID]; s != nil {
 			s.update(e)
@@ -318,10 +324,10 @@
 }
 
 func (p *Pool) grant(now time.Time, r Request, s *server) Decision {
-	s.start(now, r.ID, r.Lease)
+	probe := s.start(now, r.ID, r.Lease)
 	p.runningAt[r.ID] = s
 	p.usage.add(r.Customer, s.serviceTime)
-	return Decision{ID: r.ID, Verdict: Granted, Server: s.ID}
+	return Decision{ID: r.ID, Verdict: Granted, Server: s.ID, Probe: probe}
 }
 
 // refuse returns a refusal with a retry delay. The delay follows the estimated
--- a/permit/server.go
+++ b/permit/server.go
@@ -40,6 +40,9 @@
 	// is cold, which it is until ColdUntil. 0 means no limit.
 	ColdRate  float64
 	ColdUntil time.Time
+	// WarmBudget is the number of requests that may start without a proof that the
+	// server is still warm; see WarmBudget. 0 means that no proof is needed.
+	WarmBudget int
 }
 
 // slotLease is a slot in use.
@@ -64,6 +67,7 @@
 	// at coldRefilledAt.
 	coldBucket     float64
 	coldRefilledAt time.Time
+	warmth         warmth
 }
 
 func newServer(s Server, now time.Time) *server {
@@ -82,8 +86,14 @@
 	s.Server = e
 }
 
-// isCold reports whether the rate limit of a cold server applies.
-func (s *server) isCold(now time.Time) bool { return s.ColdRate > 0 && now.Before(s.ColdUntil) }
+// isCold reports whether the rate limit of a cold server applies: it is cold, or may be
+// because no probe has found it warm for too many requests.
+func (s *server) isCold(now time.Time) bool { return s.coldByTime(now) || s.unproved(now) }
+
+// coldByTime reports whether the server is cold by its entry or by its own answer.
+func (s *server) coldByTime(now time.Time) bool {
+	return s.ColdRate > 0 && (now.Before(s.ColdUntil) || now.Before(s.warmth.coldUntil))
+}
 
 // slots returns the number of requests that may run at the same time.
 func (s *server) slots() int { return max(1, int(s.inFlightLimit+0.5)) }
@@ -103,8 +113,9 @@
 	return min(coldBurst, s.coldBucket+s.ColdRate*max(0, now.Sub(s.coldRefilledAt).Seconds()))
 }
 
-// start takes a slot for a request; lease bounds how long it stays taken.
-func (s *server) start(now time.Time, id uint64, lease time.Duration) {
+// start takes a slot for a request; lease bounds how long it stays taken. It reports
+// whether a probe of the server is due.
+func (s *server) start(now time.Time, id uint64, lease time.Duration) (probe bool) {
 	if s.isCold(now) {
 		s.coldBucket, s.coldRefilledAt = s.coldTokens(now)-1, now
 	}
@@ -113,6 +124,7 @@
 	}
 	s.lastStart = now
 	s.running[id] = slotLease{since: now, expiry: now.Add(lease)}
+	return s.countStart(now)
 }
 
 // stalled reports whether the server is suspect, or has all slots taken and has
@@ -161,7 +173,7 @@
 // while all its slots are in use.
 func (s *server) startRate(now time.Time) float64 {
 	perSecond := float64(s.slots()) / s.serviceTime.Seconds()
-	if s.isCold(now) {
+	if s.coldByTime(now) {
 		perSecond = min(perSecond, s.ColdRate)
 	}
 	return perSecond
