--- a/permit/server.go
+++ b/permit/server.go
@@ -44,6 +44,9 @@
 	// is cold, which it is until ColdUntil. 0 means no limit.
 	ColdRate  float64
 	ColdUntil time.Time
+	// WarmBudget is the number of requests that may start without a proof that the
+	// server is still warm; see WarmBudget. 0 means that no proof is needed.
+	WarmBudget int
 }
 
 // slotLease is a slot in use.
@@ -78,6 +81,7 @@
 	// at coldRefilledAt.
 	coldBucket     float64
 	coldRefilledAt time.Time
+	warmth         warmth
 }
 
 func newServer(s Server, now time.Time) *server {
@@ -102,8 +106,14 @@
 	return s.failures >= suspectDespiteAnswers || s.failures >= suspectAfterFailures && now.Sub(s.lastSuccess) > recentAnswer
 }
 
-// isCold reports whether the rate limit of a cold server applies.
-func (s *server) isCold(now time.Time) bool { return s.ColdRate > 0 && now.Before(s.ColdUntil) }
+// isCold reports whether the rate limit of a cold server applies: it is cold, or may be
+// because no probe has found it warm for too many requests.
+func (s *server) isCold(now time.Time) bool { return s.coldByTime(now) || s.unproved(now) }
+
+// coldByTime reports whether the server is cold by its entry or by its own answer.
+func (s *server) coldByTime(now time.Time) bool {
+	return s.ColdRate > 0 && (now.Before(s.ColdUntil) || now.Before(s.warmth.coldUntil))
+}
 
 // slots returns the number of requests that may run at the same time.
 func (s *server) slots() int { return max(1, int(s.inFlightLimit+0.5)) }
@@ -129,8 +139,9 @@
 	return min(coldBurst, s.coldBucket+s.ColdRate*max(0, now.Sub(s.coldRefilledAt).Seconds()))
 }
 
-// start takes a slot for a request with the given expected service time.
-func (s *server) start(now time.Time, r Request, work time.Duration) {
+// start takes a slot for a request with the given expected service time. It reports
+// whether a probe of the server is due.
+func (s *server) start(now time.Time, r Request, work time.Duration) (probe bool) {
 	if s.isCold(now) {
 		s.coldBucket, s.coldRefilledAt = s.coldTokens(now)-1, now
 	}
@@ -140,6 +151,7 @@
 	s.lastStart = now
 	s.heldBytes += r.Bytes
 	s.running[r.ID] = slotLease{since: now, expiry: now.Add(r.Lease), work: work, bytes: r.Bytes}
+	return s.countStart(now)
 }
 
 // stalled reports whether the server is suspect, or has all slots taken and has
@@ -207,7 +219,7 @@
 // while all its slots are in use.
 func (s *server) startRate(now time.Time) float64 {
 	perSecond := float64(s.slots()) / s.serviceTime.Seconds()
-	if s.isCold(now) {
+	if s.coldByTime(now) {
 		perSecond = min(perSecond, s.ColdRate)
 	}
 	return perSecond
