--- a/node/assigner.go
+++ b/node/assigner.go
@@ -49,6 +49,10 @@
 	// rangesPerOrderInFlight ranges. A new leader would otherwise open connections
 	// for all ranges at once, and orders would time out.
 	maxOrdersInFlight, rangesPerOrderInFlight = 96, 8
+	// maxReleasesApart is the number of releases up to which they do not count for that:
+	// a release is answered when the running work on its keys has ended, so that those of
+	// a hot set would hold up the renewals and the grants to its new owners for a second.
+	maxReleasesApart = 128
 )
 
 // assigner sends orders to servers to hold or release keys while this VM leads.
@@ -332,7 +336,13 @@
 	a.assignFree(now, m, snap, svc)
 	a.startTableWrite(now, m, len(snap.Servers))
 	a.loads.withLoad(svc.Name, func(l *placement.Load) { a.vacateUnusable(m, snap, svc, l) })
-	limit := max(maxOrdersInFlight, len(m.Holds())/rangesPerOrderInFlight) - a.ordersInFlight
+	vacating := 0
+	for _, h := range m.Holds() {
+		if h.Phase == ownership.Vacating {
+			vacating++
+		}
+	}
+	limit := orderLimit(len(m.Holds()), vacating) - a.ordersInFlight
 	if limit <= 0 {
 		return
 	}
@@ -341,6 +351,12 @@
 	}
 }
 
+// orderLimit returns how many orders may be in flight for a service with the given number
+// of ranges, of which some are being released.
+func orderLimit(ranges, vacating int) int {
+	return max(maxOrdersInFlight, ranges/rangesPerOrderInFlight) + min(vacating, maxReleasesApart)
+}
+
 // ownerCondition derives the condition of an owner from the directory.
 func ownerCondition(snap *view.Snapshot, svc *routemap.Service, o keyrange.Owner) ownership.Condition {
 	s := snap.Servers[o.Server]
--- a/node/orders_test.go
+++ b/node/orders_test.go
@@ -84,3 +84,14 @@
 	require.Equal(t, "first", a.serverAddress(snapshot(), owner))
 	require.Equal(t, "second", a.serverAddress(snapshot(&directory.Server{ID: "i", StartedAtMs: 2, Addr: "second"}), owner))
 }
+
+// Guards against releases of a hot set that hold up the renewals of other keys and the
+// grants to the set's new owners, and against releases without a bound.
+func TestReleasesDoNotHoldUpOtherOrders(t *testing.T) {
+	for _, ranges := range []int{100, 1000} {
+		for _, vacating := range []int{0, 60, maxReleasesApart} {
+			require.Equal(t, orderLimit(ranges, 0), orderLimit(ranges, vacating)-vacating)
+		}
+		require.Equal(t, orderLimit(ranges, maxReleasesApart), orderLimit(ranges, 10*maxReleasesApart))
+	}
+}
