--- a/placement/plan.go
+++ b/placement/plan.go
@@ -153,12 +153,14 @@
 	byID   map[topo.ServerID]*share
 	// moving is the number of moves in progress.
 	moving int
+	// refusing is set if the service as a whole refuses requests regardless of its load.
+	refusing bool
 	// sources and destinations are the servers from which and to which keys may move.
 	sources, destinations shareQueue
 }
 
 func newPlanState(load *Load, servers []Server, table []Range) *planState {
-	st := &planState{load: load, byID: make(map[topo.ServerID]*share, len(servers))}
+	st := &planState{load: load, refusing: load.serviceRefusing(servers), byID: make(map[topo.ServerID]*share, len(servers))}
 	for _, s := range servers {
 		server := &share{Server: s, svcTime: load.ServiceTime(s.ID), refusing: load.Refusing(s.ID), asSource: -1, asDestination: -1}
 		if s.ColdRate > 0 {
@@ -191,18 +193,6 @@
 	return st
 }
 
-// refusing reports whether so many servers refuse requests regardless of their load that
-// the cause is in the service as a whole.
-func (st *planState) refusing() bool {
-	n := 0
-	for _, s := range st.shares {
-		if s.refusing {
-			n++
-		}
-	}
-	return float64(n) >= maxRefusingShare*float64(len(st.shares)) && n > 0
-}
-
 // sortedServers returns the servers by decreasing rank, with ties ordered by ID.
 func (st *planState) sortedServers(rank func(*share) float64) []*share {
 	list := slices.Clone(st.shares)
@@ -261,7 +251,7 @@
 // of a plan and on the moves in progress grow with the number of servers.
 func Plan(load *Load, servers []Server, table []Range) []Move {
 	st := newPlanState(load, servers, table)
-	if out := st.relieve(); len(out) > 0 || st.refusing() {
+	if out := st.relieve(); len(out) > 0 || st.refusing {
 		return out
 	}
 	return st.evenOut()
