placement, node: no relief from the first reports of a term; refusing services are logged

Cause: a new leader begins with empty averages, and a few requests in 0.1 s count as a high rate, so that it would relieve servers that are not overloaded. Operators cannot see why keys of a refusing service do not move. Change: servers are relieved from 1 s of reports on; the event service_refuses is logged when a service begins or ceases to refuse regardless of its load.

--- a/node/assigner.go
+++ b/node/assigner.go
@@ -83,7 +83,9 @@
 	// lastPlan is when the keys were last rebalanced, and lastRelief when overloaded
 	// servers were last looked for.
 	lastPlan, lastRelief time.Time
-	termCtx              context.Context
+	// refusing holds the services that refuse requests regardless of their load.
+	refusing map[topo.ServiceName]bool
+	termCtx  context.Context
 	// interrupted is set when the rounds of a term ended without a panic, so that the
 	// term can be resumed.
 	interrupted bool
@@ -94,7 +96,7 @@
 }
 
 func newAssigner(n *Node, l *loads) *assigner {
-	return &assigner{node: n, loads: l, results: ring.New[func()](2*maxOrdersInFlight, ring.Block), settleRequests: make(chan chan bool)}
+	return &assigner{node: n, loads: l, refusing: make(map[topo.ServiceName]bool), results: ring.New[func()](2*maxOrdersInFlight, ring.Block), settleRequests: make(chan chan bool)}
 }
 
 // Run assigns keys during each term that this VM leads, until ctx ends. Once
--- a/node/placement.go
+++ b/node/placement.go
@@ -116,6 +116,7 @@
 		}
 		a.loads.withLoad(svc.Name, func(l *placement.Load) {
 			l.Decay(now)
+			a.logRefusals(svc, l.ServiceRefusing(servers))
 			moves := plan(l, servers, placementRanges(now, m))
 			a.logPlan(svc, m, l, moves, clock.Boot().Sub(now))
 			for _, mv := range moves {
@@ -127,6 +128,16 @@
 	})
 }
 
+// logRefusals logs when a service begins or ceases to refuse requests regardless of its
+// load. Until it ceases, no keys move to balance load.
+func (a *assigner) logRefusals(svc *routemap.Service, refusing bool) {
+	if a.refusing[svc.Name] == refusing {
+		return
+	}
+	a.refusing[svc.Name] = refusing
+	a.node.log.Event("service_refuses").Str("service", string(svc.Name)).Bool("refusing", refusing).Send()
+}
+
 // logPlan logs and counts the moves of a plan, which may be more than the lines of one
 // event that the log accepts.
 func (a *assigner) logPlan(svc *routemap.Service, m *ownership.Machine, l *placement.Load, moves []placement.Move, took time.Duration) {
--- a/placement/load.go
+++ b/placement/load.go
@@ -134,6 +134,12 @@
 	l.fast.add(key, n)
 }
 
+// justStarted reports whether the load has been tracked for so short a time that a few
+// arrivals look like a surge, as with a new leader.
+func (l *Load) justStarted() bool {
+	return l.shortTerm.age > 0 && l.shortTerm.age < shortTimeConstant
+}
+
 // averageFor returns the average to use for the keys from first to last: the
 // short-term one when it differs from the long-term one by more than random
 // arrivals explain, else the long-term one.
--- a/placement/naive_test.go
+++ b/placement/naive_test.go
@@ -123,7 +123,7 @@
 }
 
 func (st *naivePlanState) relieve() []Move {
-	if st.refusing() {
+	if st.refusing() || st.load.justStarted() {
 		return nil
 	}
 	load, capacity := 0.0, 0.0
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -160,7 +160,7 @@
 }
 
 func newPlanState(load *Load, servers []Server, table []Range) *planState {
-	st := &planState{load: load, refusing: load.serviceRefusing(servers), byID: make(map[topo.ServerID]*share, len(servers))}
+	st := &planState{load: load, refusing: load.ServiceRefusing(servers), byID: make(map[topo.ServerID]*share, len(servers))}
 	for _, s := range servers {
 		server := &share{Server: s, svcTime: load.ServiceTime(s.ID), refusing: load.Refusing(s.ID), asSource: -1, asDestination: -1}
 		if s.ColdRate > 0 {
--- a/placement/refusals.go
+++ b/placement/refusals.go
@@ -47,9 +47,9 @@
 	l.refusals[id] = r
 }
 
-// serviceRefusing reports whether so many of the servers refuse requests regardless of
+// ServiceRefusing reports whether so many of the servers refuse requests regardless of
 // their load that the cause is in the service as a whole.
-func (l *Load) serviceRefusing(servers []Server) bool {
+func (l *Load) ServiceRefusing(servers []Server) bool {
 	n, turnedAway := 0, 0.0
 	for _, s := range servers {
 		r := l.refusals[s.ID]
--- a/placement/relieve.go
+++ b/placement/relieve.go
@@ -44,7 +44,7 @@
 // least, until none is overloaded or no move is worth its price. A server that gets a hot
 // range is relieved of others if necessary.
 func (st *planState) relieve() []Move {
-	if st.refusing {
+	if st.refusing || st.load.justStarted() {
 		return nil
 	}
 	level := st.levels()
--- a/placement/relieve_test.go
+++ b/placement/relieve_test.go
@@ -155,3 +155,25 @@
 	require.NotEmpty(t, plan(200*time.Millisecond))
 	require.Empty(t, plan(10*time.Second))
 }
+
+// Guards against keys that a new leader moves because of its first reports, in which a few
+// requests look like a surge.
+func TestFirstReportsMoveNoKeys(t *testing.T) {
+	s := newCluster(8)
+	now, moves := start, 0
+	for i := range 20 {
+		now = now.Add(reliefTick)
+		s.load.Decay(now)
+		for k := range keyrange.Key(4) {
+			s.load.Count(k, 4)
+		}
+		if moves = len(Relieve(s.load, s.servers, s.table)); moves > 0 {
+			require.GreaterOrEqual(t, i, 9, "1 s of reports")
+			return
+		}
+	}
+	t.Fatal("160 requests per second for one server of 20 per second moved no keys")
+}
+
+// reliefTick is how often the leader looks for overloaded servers.
+const reliefTick = 100 * time.Millisecond
