--- a/node/assigner.go
+++ b/node/assigner.go
@@ -49,6 +49,10 @@
 	// rangesPerOrderInFlight ranges. A new leader would otherwise open connections
 	// for all ranges at once, and orders would time out.
 	maxOrdersInFlight, rangesPerOrderInFlight = 96, 8
+	// maxReleasesApart is the number of releases up to which they do not count for that:
+	// a release is answered when the running work on its keys has ended, so that those of
+	// a hot set would hold up the renewals and the grants to its new owners for a second.
+	maxReleasesApart = 128
 )
 
 // assigner sends orders to servers to hold or release keys while this VM leads.
@@ -79,7 +83,9 @@
 	// lastPlan is when the keys were last rebalanced, and lastRelief when overloaded
 	// servers were last looked for.
 	lastPlan, lastRelief time.Time
-	termCtx              context.Context
+	// refusing holds the services that refuse requests regardless of their load.
+	refusing map[topo.ServiceName]bool
+	termCtx  context.Context
 	// interrupted is set when the rounds of a term ended without a panic, so that the
 	// term can be resumed.
 	interrupted bool
@@ -90,7 +96,7 @@
 }
 
 func newAssigner(n *Node, l *loads) *assigner {
-	return &assigner{node: n, loads: l, results: ring.New[func()](2*maxOrdersInFlight, ring.Block), settleRequests: make(chan chan bool)}
+	return &assigner{node: n, loads: l, refusing: make(map[topo.ServiceName]bool), results: ring.New[func()](2*maxOrdersInFlight, ring.Block), settleRequests: make(chan chan bool)}
 }
 
 // Run assigns keys during each term that this VM leads, until ctx ends. Once
@@ -332,7 +338,13 @@
 	a.assignFree(now, m, snap, svc)
 	a.startTableWrite(now, m, len(snap.Servers))
 	a.loads.withLoad(svc.Name, func(l *placement.Load) { a.vacateUnusable(m, snap, svc, l) })
-	limit := max(maxOrdersInFlight, len(m.Holds())/rangesPerOrderInFlight) - a.ordersInFlight
+	vacating := 0
+	for _, h := range m.Holds() {
+		if h.Phase == ownership.Vacating {
+			vacating++
+		}
+	}
+	limit := orderLimit(len(m.Holds()), vacating) - a.ordersInFlight
 	if limit <= 0 {
 		return
 	}
@@ -341,6 +353,12 @@
 	}
 }
 
+// orderLimit returns how many orders may be in flight for a service with the given number
+// of ranges, of which some are being released.
+func orderLimit(ranges, vacating int) int {
+	return max(maxOrdersInFlight, ranges/rangesPerOrderInFlight) + min(vacating, maxReleasesApart)
+}
+
 // ownerCondition derives the condition of an owner from the directory.
 func ownerCondition(snap *view.Snapshot, svc *routemap.Service, o keyrange.Owner) ownership.Condition {
 	s := snap.Servers[o.Server]
--- a/placement/naive_test.go
+++ b/placement/naive_test.go
@@ -97,8 +97,15 @@
 }
 
 func (st *naivePlanState) refusing() bool {
-	refusing := len(st.shares) - len(st.sorted((*naiveShare).marginalCost))
-	return refusing > 0 && float64(refusing) >= maxRefusingShare*float64(len(st.shares))
+	n, turnedAway := 0, 0.0
+	for _, s := range st.shares {
+		r := st.load.refusals[s.ID]
+		turnedAway += r.turnedAway
+		if r.turnedAway > maxRefusedShare*(r.ran+r.turnedAway) {
+			n++
+		}
+	}
+	return turnedAway >= minServiceRefusals && 3*n >= len(st.shares)
 }
 
 // naivePlan returns the same moves as Plan.
@@ -116,7 +123,7 @@
 }
 
 func (st *naivePlanState) relieve() []Move {
-	if st.refusing() {
+	if st.refusing() || st.load.justStarted() {
 		return nil
 	}
 	load, capacity := 0.0, 0.0
