internal/crowd: crowds of faulty callers against one process

Cause: bodies, heads and answers that callers make a process hold are not counted against the memory of its VM, and no test starts such callers.

Change: a test per kind of caller starts godwitlock-node on loopback with 80 MB and 1,500 descriptors, connects 1,000 callers for 4 s, and checks that the process lives, that peak resident memory and open files stay within the limits of the VM, and that an ordinary request is answered afterwards. Package nodeproc builds and starts the program for it and for the soak.

--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"godwitlock.example/godwitlock/internal/nodeproc"
 	"godwitlock.example/godwitlock/standin/platform/site"
 )
 
@@ -90,7 +91,7 @@
 	// The settings take a port range, but the two ports need not be adjacent.
 	text := site.Settings(p.name, fmt.Sprintf("z%d", i%2), site.Addresses{
 		Front: addrs[0], Ready: addrs[1], InternalPorts: [2]string{port(addrs[2]), port(addrs[3])}, Store: p.store.addr(),
-	})
+	}, site.Limits{})
 	require.NoError(c.t, os.WriteFile(p.settings(), []byte(text), 0o600))
 	require.NoError(c.t, p.start())
 	return p
@@ -104,10 +105,7 @@
 		return err
 	}
 	defer func() { _ = log.Close() }()
-	cmd, exited := exec.Command(nodeBinary), make(chan struct{})
-	// The race detector would delay each exit by 1 s.
-	cmd.Env = append(os.Environ(), "GODWITLOCK_NODE_FILE="+p.settings(), "GORACE=atexit_sleep_ms=0")
-	cmd.Stdout, cmd.Stderr = log, log
+	cmd, exited := nodeproc.Command(nodeBinary, p.settings(), log), make(chan struct{})
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err := cmd.Start(); err != nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -13,7 +13,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
@@ -21,6 +20,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"godwitlock.example/godwitlock/internal/nodeproc"
 )
 
 var (
@@ -42,11 +43,8 @@
 	if err != nil {
 		panic(err)
 	}
-	nodeBinary = filepath.Join(dir, "godwitlock-node")
-	args := append([]string{"build", "-o", nodeBinary}, raceFlags...)
-	build := exec.Command("go", append(args, "../cmd/godwitlock-node")...)
-	if out, err := build.CombinedOutput(); err != nil {
-		panic(string(out))
+	if nodeBinary, err = nodeproc.Build(dir, raceFlags...); err != nil {
+		panic(err)
 	}
 	code := m.Run()
 	_ = os.RemoveAll(dir)
--- a/soak/startup_test.go
+++ b/soak/startup_test.go
@@ -32,7 +32,7 @@
 	addrs := freeAddrs(t, 5)
 	_, _ = io.WriteString(settings, site.Settings("vm", "z0", site.Addresses{
 		Front: addrs[0], Ready: addrs[1], InternalPorts: portRange(addrs[2], addrs[3]), Store: addrs[4],
-	}))
+	}, site.Limits{}))
 	require.NoError(t, settings.Close())
 
 	lines := bufio.NewScanner(out)
--- a/standin/platform/site/site.go
+++ b/standin/platform/site/site.go
@@ -11,6 +11,9 @@
 	Store         string
 }
 
+// Limits are the resource limits of a VM; 0 means none.
+type Limits struct{ RAMMb, MaxFds int }
+
 // GraceS is the time in seconds between SIGTERM and SIGKILL, and RouteTimeoutS is
 // the time after which a request must be answered.
 const (
@@ -19,7 +22,7 @@
 )
 
 // Settings returns the content of the settings file of a VM.
-func Settings(name, dataCentre string, p Addresses) string {
+func Settings(name, dataCentre string, p Addresses, l Limits) string {
 	return fmt.Sprintf(`node = %q
 ip = "127.0.0.1"
 zone = %q
@@ -30,9 +33,11 @@
 ready = %q
 [limits]
 cpuShare = 0.5
+ramMb = %d
+maxFds = %d
 [platform]
 addr = %q
-`, name, dataCentre, p.InternalPorts[0], p.InternalPorts[1], GraceS, p.Front, p.Ready, p.Store)
+`, name, dataCentre, p.InternalPorts[0], p.InternalPorts[1], GraceS, p.Front, p.Ready, l.RAMMb, l.MaxFds, p.Store)
 }
 
 // PutConfig writes a configuration with one keyed service, "ledger", a route
