ingress, node, membudget: callers' memory within one budget

Cause: what callers make a process hold had no bound: heads were parsed while they arrived, bodies and answers were kept per connection, and the memory limit of the VM was read from the settings but not used.

Change: package membudget accounts for connections, heads, bodies and responses, with a share of the VM's memory. Classes of demands are refused in order: new connections, new heads, further requests on a connection that owes responses; when all is used, the connections that have held most for longest are closed. A head is parsed only when it is complete and its parsed size fits. Body buffers grow with what arrives. A caller must read a streamed answer at 16 KiB/s after 5 s, so that it does not hold a server's connection. The memory limit of the garbage collector follows the VM's. The readiness and metrics addresses keep at most 24 connections and close the oldest.

--- a/cmd/godwitlock-node/main.go
+++ b/cmd/godwitlock-node/main.go
@@ -10,6 +10,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"godwitlock.example/godwitlock/membudget"
 	"godwitlock.example/godwitlock/node"
 	"godwitlock.example/godwitlock/platform"
 )
@@ -36,6 +37,9 @@
 	if err != nil {
 		return err
 	}
+	if limit := membudget.CollectorLimit(settings.MemoryBytes); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	n, err := node.Listen(settings, platform.New(settings.StoreAddr))
 	if err != nil {
 		return err
--- a/ingress/accept.go
+++ b/ingress/accept.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"godwitlock.example/godwitlock/accept"
+	"godwitlock.example/godwitlock/membudget"
 )
 
 // lastAcceptWait is how long the last call of Accept waits. It begins with a look
@@ -62,6 +63,13 @@
 }
 
 func (s *Server) start(nc net.Conn) {
+	if !s.Memory.Take(membudget.Connections, membudget.NewConnection, ConnBytes) {
+		s.evictHolders(membudget.NewConnection, nil)
+		if !s.Memory.Take(membudget.Connections, membudget.NewConnection, ConnBytes) {
+			s.turnAway(nc)
+			return
+		}
+	}
 	c := newConn(s, nc)
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
@@ -74,6 +82,7 @@
 	go func() {
 		defer s.wg.Done()
 		c.serve()
+		s.Memory.Give(membudget.Connections, ConnBytes)
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 
 	"godwitlock.example/godwitlock/internal/readlimit"
+	"godwitlock.example/godwitlock/membudget"
 )
 
 const (
@@ -78,6 +79,17 @@
 	idleElement *list.Element
 	// evicted is set when the connection was closed for another one.
 	evicted atomic.Bool
+	// held is what the requests and responses of the connection hold, and heldSince
+	// since when it holds anything, in Unix nanoseconds.
+	held, heldSince atomic.Int64
+	// evictedForMemory is set when the connection is to end since it holds most.
+	evictedForMemory atomic.Bool
+	// aborted is set besides if it owes responses, which are not written then.
+	aborted atomic.Bool
+	// firstBuffer is the read buffer that br is unless a head needs a larger one, of
+	// largerBuffer bytes.
+	firstBuffer  *bufio.Reader
+	largerBuffer int64
 }
 
 // pendingResponse holds the place of a response in the order of the requests.
@@ -92,6 +104,8 @@
 	last bool
 	// late says that the response came after the context had ended.
 	late bool
+	// memory is what the request and its response hold.
+	memory memory
 }
 
 // readyStatus returns the status of resp, 0 when it came late.
@@ -126,6 +140,7 @@
 		ctx: ctx, cancel: cancel,
 		pending: make(chan *pendingResponse, maxPipelined), writerDone: make(chan struct{}),
 	}
+	c.firstBuffer = c.br
 	c.lastWrite.Store(time.Now().UnixNano())
 	c.state.onIdle = func(idle bool) { s.bound.idle.set(c, idle) }
 	return c
@@ -146,6 +161,7 @@
 	<-c.writerDone
 	c.cancel(nil)
 	ids, unread := c.linger()
+	c.give(membudget.Heads, c.largerBuffer)
 	if callerGone == nil {
 		c.reportUnread(ids, unread)
 	}
@@ -165,7 +181,7 @@
 			}
 			return c.awaitDisconnect()
 		}
-		req, refusal, err := c.readRequest(limits)
+		req, held, refusal, err := c.readRequest(limits)
 		if refusal != nil {
 			c.restIsBody = true
 			c.state.start(stopped, 0, false)
@@ -176,7 +192,7 @@
 			return err
 		}
 		c.requestsEnd.Store(c.limited.Total() - int64(c.br.Buffered()))
-		if !c.startRequest(req) {
+		if !c.startRequest(req, held) {
 			if req.Stream != nil {
 				return nil
 			}
@@ -190,15 +206,19 @@
 // timeout has expired, with the read error if there was one.
 func (c *conn) awaitRequest(limits Limits) (more bool, err error) {
 	for {
-		if c.br.Buffered() > 0 {
+		if c.br.Buffered() > 0 && !c.evictedForMemory.Load() {
 			return c.state.beginRead(), nil
 		}
+		c.shrinkBuffer()
 		idleFrom := time.Unix(0, c.lastWrite.Load())
 		if c.state.owed() > 0 {
 			idleFrom = time.Now()
 		}
+		if c.evictedForMemory.Load() {
+			return false, nil
+		}
 		// The deadline is set first, so that it cannot replace that of interrupt.
-		_ = c.nc.SetReadDeadline(idleFrom.Add(limits.IdleTimeout))
+		c.setReadDeadline(idleFrom.Add(limits.IdleTimeout))
 		if !c.state.wait(c.srv.draining.Load()) {
 			return false, nil
 		}
@@ -222,7 +242,7 @@
 // response was written, and nil otherwise. Requests that it discards count as not
 // read, because the last response closes the connection.
 func (c *conn) awaitDisconnect() error {
-	_ = c.nc.SetReadDeadline(time.Time{})
+	c.setReadDeadline(time.Time{})
 	if c.writeEnded.Load() || c.state.owed() == 0 {
 		return nil
 	}
@@ -239,8 +259,8 @@
 // startRequest starts a request and reports whether another one may be read. It
 // returns only after a request with a streamed body has run, because the handler
 // reads the body from the connection.
-func (c *conn) startRequest(req *Request) bool {
-	p := &pendingResponse{response: make(chan *Response, 1), request: req, method: req.Method, last: c.lastRequest}
+func (c *conn) startRequest(req *Request, held memory) bool {
+	p := &pendingResponse{response: make(chan *Response, 1), request: req, method: req.Method, last: c.lastRequest, memory: held}
 	next := waiting
 	switch {
 	case c.lastRequest || req.Stream != nil:
@@ -251,10 +271,14 @@
 	behind := c.state.owed() > 0
 	next = c.state.start(next, c.requestsEnd.Load(), c.srv.draining.Load())
 	if !c.enqueue(p) {
+		c.release(p)
 		return false
 	}
 	run := func() {
 		resp := c.srv.handler(c.ctx, req)
+		size := responseCost(resp)
+		p.memory[membudget.Responses] += size
+		c.add(membudget.Responses, size)
 		var ahead *readAhead
 		switch {
 		case req.Stream != nil:
@@ -262,7 +286,7 @@
 			// next request.
 			p.last = true
 		case resp.Stream != nil && behind:
-			ahead = newReadAhead(resp.Stream)
+			ahead = newReadAhead(resp.Stream, c)
 			resp.Stream = ahead
 		}
 		p.late = c.ctx.Err() != nil
--- a/ingress/dropped.go
+++ b/ingress/dropped.go
@@ -30,6 +30,8 @@
 	SourceFailed DropCause = "source_failed"
 	// AbortedByHandler: the handler asked to close the connection.
 	AbortedByHandler DropCause = "aborted_by_handler"
+	// MemoryExhausted: the connection held more memory than others when none was left.
+	MemoryExhausted DropCause = "memory_exhausted"
 	// ProcessEnded: the connection was still open when the server stopped.
 	ProcessEnded DropCause = "process_ended"
 )
@@ -127,9 +129,13 @@
 	case resp := <-p.response:
 		c.reportDropped(p, end, ahead, p.readyStatus(resp))
 		resp.discard()
+		c.release(p)
 	default:
 		c.reportDropped(p, end, ahead, 0)
-		go func() { (<-p.response).discard() }()
+		go func() {
+			(<-p.response).discard()
+			c.release(p)
+		}()
 	}
 }
 
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"godwitlock.example/godwitlock/accept"
+	"godwitlock.example/godwitlock/membudget"
 )
 
 // Headers holds the names of the header fields that callers and godwitlock
@@ -115,7 +116,15 @@
 	// set before Serve.
 	MaxConnections func() int
 	openCount      atomic.Int64
-	bound          bound
+	// Memory, unless nil, is the memory for what callers make the process hold. It
+	// must be set before Serve.
+	Memory *membudget.Budget
+	// evicting is held while connections are chosen to be closed for lack of memory.
+	evicting sync.Mutex
+	// evictions and refusedConns count the connections that were closed and refused
+	// for lack of memory; turnedAway are those that are being refused.
+	evictions, refusedConns, turnedAway atomic.Int64
+	bound                               bound
 
 	// serving counts the running calls of Serve.
 	serving atomic.Int32
--- a/ingress/read.go
+++ b/ingress/read.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -15,23 +16,60 @@
 
 	"godwitlock.example/godwitlock/call"
 	"godwitlock.example/godwitlock/internal/readlimit"
+	"godwitlock.example/godwitlock/membudget"
 )
 
 // readRequest reads a request and its body. A non-nil Response rejects the
 // request and is the last one of the connection; an error without a Response
 // means that the caller has disconnected.
-func (c *conn) readRequest(limits Limits) (*Request, *Response, error) {
-	_ = c.nc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+func (c *conn) readRequest(limits Limits) (req *Request, held memory, refusal *Response, err error) {
+	defer func() {
+		if c.evictedForMemory.Load() && (err != nil || refusal != nil) {
+			refusal = overloaded()
+		}
+		if refusal != nil || err != nil {
+			c.release(&pendingResponse{memory: held})
+			held = memory{}
+		}
+	}()
+	hr, refusal, err := c.readHead(limits, &held)
+	if refusal != nil || err != nil {
+		return nil, held, refusal, err
+	}
+	req, refusal, err = c.readRest(hr, limits, &held)
+	return req, held, refusal, err
+}
+
+// readHead reads and parses a head.
+func (c *conn) readHead(limits Limits, held *memory) (*http.Request, *Response, error) {
+	c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	c.limited.SetLimit(int64(limits.HeaderBytes + headerSlackBytes))
+	defer c.limited.Unlimit()
 	c.errs.last = nil
+	size, lines, refusal, err := c.awaitHead(limits)
+	if err != nil {
+		return nil, parseErrorResponse(err), err
+	}
+	if refusal != nil {
+		return nil, refusal, nil
+	}
+	cost := headCost(size, lines) + requestBytes
+	if !c.take(membudget.Heads, c.classOfNext(), cost) {
+		return nil, overloaded(), nil
+	}
+	held[membudget.Heads] += cost
 	hr, err := http.ReadRequest(c.br)
-	c.limited.Unlimit()
 	if err != nil && c.errs.last != nil {
 		err = c.errs.last
 	}
 	if err != nil {
 		return nil, parseErrorResponse(err), err
 	}
+	return hr, nil, nil
+}
+
+// readRest checks a parsed head and reads the body.
+func (c *conn) readRest(hr *http.Request, limits Limits, held *memory) (*Request, *Response, error) {
 	req, refusal := c.newRequest(hr)
 	if refusal != nil {
 		return nil, refusal, nil
@@ -44,7 +82,7 @@
 			return nil, nil, err
 		}
 	}
-	return c.readBody(req, hr, limits)
+	return c.readBody(req, hr, limits, held)
 }
 
 // parseErrorResponse returns the response to a request that could not be read,
@@ -106,21 +144,23 @@
 
 // readBody buffers a body of at most maxBufferedBodyBytes and sets up a stream
 // for a longer one.
-func (c *conn) readBody(req *Request, hr *http.Request, limits Limits) (*Request, *Response, error) {
+func (c *conn) readBody(req *Request, hr *http.Request, limits Limits, held *memory) (*Request, *Response, error) {
 	c.lastRequest = hr.Close || !hr.ProtoAtLeast(1, 1)
 	call.StripHopByHop(req.Header)
 	if hr.Body == http.NoBody || hr.ContentLength == 0 {
 		return req, nil, nil
 	}
-	_ = c.nc.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	c.setReadDeadline(time.Now().Add(bodyReadTimeout))
 	source := http.MaxBytesReader(nil, hr.Body, limits.BodyBytes)
 	if hr.ContentLength > maxBufferedBodyBytes {
 		req.Stream, req.Length = &bodyReader{c: c, r: source}, hr.ContentLength
 		return req, nil, nil
 	}
-	data, err := io.ReadAll(io.LimitReader(source, maxBufferedBodyBytes+1))
+	data, err := c.bufferBody(source, hr.ContentLength, held)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case err == errNoMemory:
+		return nil, overloaded(), nil
 	case errors.As(err, &tooLarge):
 		return nil, statusResponse(http.StatusRequestEntityTooLarge), nil
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -135,10 +175,42 @@
 		return req, nil, nil
 	}
 	rest := &bodyReader{c: c, r: source}
-	req.Stream, req.Length = io.MultiReader(strings.NewReader(string(data)), rest), hr.ContentLength
+	req.Stream, req.Length = io.MultiReader(bytes.NewReader(data), rest), hr.ContentLength
 	return req, nil, nil
 }
 
+// errNoMemory reports a body that does not fit into the memory budget.
+var errNoMemory = errors.New("no memory for the body")
+
+// bufferBody reads a body of length bytes, or of unknown length if that is negative, up
+// to one byte beyond maxBufferedBodyBytes. The buffer grows with what has arrived.
+func (c *conn) bufferBody(source io.Reader, length int64, held *memory) ([]byte, error) {
+	most := maxBufferedBodyBytes + 1
+	if length >= 0 {
+		// One byte more lets the reader see the end of the body.
+		most = int(length) + 1
+	}
+	var data []byte
+	for {
+		if len(data) == cap(data) {
+			size := min(most, max(bufferBytes, 2*cap(data)))
+			if !c.take(membudget.Bodies, membudget.Begun, int64(size-cap(data))) {
+				return nil, errNoMemory
+			}
+			held[membudget.Bodies] += int64(size - cap(data))
+			data = append(make([]byte, 0, size), data...)
+		}
+		n, err := source.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if err == io.EOF || len(data) == most {
+			return data, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
 // bodyReader reads a streamed body with bodyReadTimeout for each read.
 type bodyReader struct {
 	c *conn
@@ -146,6 +218,6 @@
 }
 
 func (b *bodyReader) Read(p []byte) (int, error) {
-	_ = b.c.nc.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	b.c.setReadDeadline(time.Now().Add(bodyReadTimeout))
 	return b.r.Read(p)
 }
--- a/ingress/readahead.go
+++ b/ingress/readahead.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"sync"
+
+	"godwitlock.example/godwitlock/membudget"
 )
 
 // maxReadAheadBytes bounds how much of a streamed answer is read before its turn.
@@ -15,6 +17,9 @@
 // the one that a request before it waits for.
 type readAhead struct {
 	source io.ReadCloser
+	c      *conn
+	// held is what the buffer holds at most, in the memory budget.
+	held int64
 
 	mu      sync.Mutex
 	changed *sync.Cond
@@ -23,8 +28,8 @@
 	closed  bool
 }
 
-func newReadAhead(source io.ReadCloser) *readAhead {
-	r := &readAhead{source: source}
+func newReadAhead(source io.ReadCloser, c *conn) *readAhead {
+	r := &readAhead{source: source, c: c}
 	r.changed = sync.NewCond(&r.mu)
 	return r
 }
@@ -46,7 +51,10 @@
 func (r *readAhead) put(data []byte, err error) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.buf.Write(data)
+	if !r.closed {
+		r.buf.Write(data)
+		r.hold(int64(r.buf.Cap()))
+	}
 	r.err = err
 	r.changed.Broadcast()
 	for r.buf.Len() >= maxReadAheadBytes && r.err == nil && !r.closed {
@@ -55,6 +63,15 @@
 	return r.err == nil && !r.closed
 }
 
+// hold accounts for a buffer of n bytes. The caller holds mu.
+func (r *readAhead) hold(n int64) {
+	if n == r.held {
+		return
+	}
+	r.c.add(membudget.Responses, n-r.held)
+	r.held = n
+}
+
 // Read implements io.Reader.
 func (r *readAhead) Read(p []byte) (int, error) {
 	r.mu.Lock()
@@ -74,6 +91,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.closed = true
+	r.buf = bytes.Buffer{}
+	r.hold(0)
 	r.changed.Broadcast()
 	return nil
 }
--- a/ingress/unread.go
+++ b/ingress/unread.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"godwitlock.example/godwitlock/membudget"
 )
 
 // Unread describes the bytes that a closed connection had received and that were
@@ -27,9 +29,11 @@
 // discardRequests reads and discards requests from br until one cannot be read, and
 // returns their IDs.
 func (c *conn) discardRequests(br *bufio.Reader) (ids []string) {
-	if c.restIsBody {
+	// What is discarded is not worth evictions.
+	if c.restIsBody || !c.srv.Memory.Take(membudget.Heads, membudget.NewHead, discardBytes) {
 		return nil
 	}
+	defer c.srv.Memory.Give(membudget.Heads, discardBytes)
 	for len(ids) < maxPipelined {
 		c.limited.SetLimit(int64(defaultLimits.HeaderBytes + headerSlackBytes))
 		hr, err := http.ReadRequest(br)
--- a/ingress/write.go
+++ b/ingress/write.go
@@ -38,6 +38,7 @@
 		c.lastWrite.Store(time.Now().UnixNano())
 		c.state.endAnswer()
 		c.list.remove()
+		c.release(p)
 		if end != nil {
 			ahead := 0
 			if err != nil {
@@ -76,7 +77,7 @@
 	if resp.Abort {
 		return errAborted
 	}
-	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+	c.setWriteDeadline(writeTimeout)
 	unframed := resp.CloseDelimited && last
 	writeHead(bw, resp, unframed, last)
 	if p.method == http.MethodHead || resp.Status == http.StatusNoContent || resp.Status == http.StatusNotModified {
@@ -124,11 +125,12 @@
 // tell that the body is incomplete.
 func (c *conn) writeUnframed(bw *bufio.Writer, source io.Reader) error {
 	buf := make([]byte, bufferBytes)
+	var pace writePace
 	for {
 		n, err := source.Read(buf)
-		_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+		c.setWriteDeadline(pace.left())
 		_, _ = bw.Write(buf[:n])
-		if flushErr := bw.Flush(); flushErr != nil {
+		if flushErr := pace.flush(bw, n); flushErr != nil {
 			return flushErr
 		}
 		if err == io.EOF {
@@ -146,11 +148,12 @@
 // that it is incomplete.
 func (c *conn) writeStream(bw *bufio.Writer, resp *Response) error {
 	buf := make([]byte, bufferBytes)
+	var pace writePace
 	remaining := resp.Length
 	for {
 		n, err := resp.Stream.Read(buf)
 		if n > 0 {
-			_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+			c.setWriteDeadline(pace.left())
 			if resp.Length < 0 {
 				_, _ = bw.WriteString(strconv.FormatInt(int64(n), 16) + "\r\n")
 			}
@@ -159,7 +162,7 @@
 				_, _ = bw.WriteString("\r\n")
 			}
 			remaining -= int64(n)
-			if flushErr := bw.Flush(); flushErr != nil {
+			if flushErr := pace.flush(bw, n); flushErr != nil {
 				return flushErr
 			}
 		}
--- a/node/connections.go
+++ b/node/connections.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"container/list"
 	"net"
 	"os"
 	"sync"
@@ -11,6 +12,7 @@
 
 	"godwitlock.example/godwitlock/accept"
 	"godwitlock.example/godwitlock/clock"
+	"godwitlock.example/godwitlock/ingress"
 )
 
 // connLogInterval is the interval between two log lines with the numbers of open
@@ -46,18 +48,43 @@
 	return max(minCallerBound, int(rest-servers))
 }
 
+// connMemoryShare is the part of the memory budget that callers' connections may take
+// before anything is sent on them. Below the bound, the one that has been idle longest is
+// closed for a new one; without memory, new ones are refused.
+const connMemoryShare = 0.6
+
 func (n *Node) updateCallerBound() {
 	open, _ := n.egress.Connections()
-	n.callerBound.Store(int64(callerBound(n.settings.MaxFiles, len(n.view.Snapshot().Members), open)))
+	bound := callerBound(n.settings.MaxFiles, len(n.view.Snapshot().Members), open)
+	n.callerBound.Store(int64(boundByMemory(bound, n.memory.Limit())))
+}
+
+// boundByMemory returns the lower of a bound of callers' connections, 0 for none, and
+// that of a memory budget.
+func boundByMemory(bound int, budget int64) int {
+	if budget == 0 {
+		return bound
+	}
+	most := max(minCallerBound, int(connMemoryShare*float64(budget)/ingress.ConnBytes))
+	if bound == 0 {
+		return most
+	}
+	return min(bound, most)
 }
 
 // openFilesDir has an entry for each open file descriptor of the process.
 const openFilesDir = "/proc/self/fd"
 
-// countingListener counts the connections that it accepted and that are open.
+// countingListener counts the connections that it accepted and that are open. If there
+// are more than most, unless that is 0, it closes the oldest one.
 type countingListener struct {
 	net.Listener
 	open atomic.Int64
+	most int
+
+	mu sync.Mutex
+	// oldest holds the open connections in the order in which they were accepted.
+	oldest list.List
 }
 
 // Accept implements net.Listener.
@@ -67,7 +94,27 @@
 		return nil, err
 	}
 	l.open.Add(1)
-	return &countedConn{Conn: nc, closed: sync.OnceFunc(func() { l.open.Add(-1) })}, nil
+	if l.most == 0 {
+		return &countedConn{Conn: nc, closed: sync.OnceFunc(func() { l.open.Add(-1) })}, nil
+	}
+	c := &countedConn{Conn: nc}
+	l.mu.Lock()
+	element := l.oldest.PushBack(c)
+	var excess *countedConn
+	if l.oldest.Len() > l.most {
+		excess = l.oldest.Front().Value.(*countedConn)
+	}
+	c.closed = sync.OnceFunc(func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.oldest.Remove(element)
+		l.open.Add(-1)
+	})
+	l.mu.Unlock()
+	if excess != nil {
+		_ = excess.Close()
+	}
+	return c, nil
 }
 
 type countedConn struct {
@@ -137,8 +184,8 @@
 func (n *Node) wrapListeners() {
 	n.callerLis = accept.New(n.callerLis, n.acceptReport("callers"))
 	n.peerLis = &countingListener{Listener: accept.New(n.peerLis, n.acceptReport("peers"))}
-	n.readyLis = &countingListener{Listener: accept.New(n.readyLis, n.acceptReport("ready"))}
-	n.metricsLis = &countingListener{Listener: accept.New(n.metricsLis, n.acceptReport("metrics"))}
+	n.readyLis = &countingListener{Listener: accept.New(n.readyLis, n.acceptReport("ready")), most: maxProbeConns}
+	n.metricsLis = &countingListener{Listener: accept.New(n.metricsLis, n.acceptReport("metrics")), most: maxProbeConns}
 }
 
 // acceptReport returns a function that logs the changes of a listener.
--- a/node/connections_test.go
+++ b/node/connections_test.go
@@ -172,3 +172,39 @@
 	}
 	require.Equal(t, minCallerBound, callerBound(100, 10, 0))
 }
+
+// Guards against connections to the ready and metrics addresses that take the memory and
+// the descriptors of others, and against a probe that finds no room.
+func TestNewProbeClosesTheOldestConnection(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = lis.Close() }()
+	counting := &countingListener{Listener: lis, most: 2}
+	var accepted, dialled []net.Conn
+	for range 4 {
+		nc, err := net.Dial("tcp", lis.Addr().String())
+		require.NoError(t, err)
+		dialled = append(dialled, nc)
+		server, err := counting.Accept()
+		require.NoError(t, err)
+		accepted = append(accepted, server)
+	}
+	require.EqualValues(t, 2, counting.open.Load())
+	for i, server := range accepted {
+		_, err := server.Write([]byte("x"))
+		require.Equal(t, i < 2, err != nil, "connection %d", i)
+		require.NoError(t, dialled[i].Close())
+		_ = server.Close()
+		_ = server.Close()
+	}
+	require.Zero(t, counting.open.Load())
+}
+
+// Guards against so many idle connections that no memory is left for requests.
+func TestBoundOfConnectionsByMemory(t *testing.T) {
+	require.Equal(t, 2000, boundByMemory(2000, 0))
+	require.Equal(t, 1000, boundByMemory(1000, 1<<30))
+	require.Equal(t, 600, boundByMemory(1000, 1000*ingress.ConnBytes))
+	require.Equal(t, 600, boundByMemory(0, 1000*ingress.ConnBytes))
+	require.Equal(t, minCallerBound, boundByMemory(1000, 1))
+}
--- a/node/node.go
+++ b/node/node.go
@@ -26,6 +26,7 @@
 	"godwitlock.example/godwitlock/ingress"
 	"godwitlock.example/godwitlock/internal/supervised"
 	"godwitlock.example/godwitlock/leader"
+	"godwitlock.example/godwitlock/membudget"
 	"godwitlock.example/godwitlock/metric"
 	"godwitlock.example/godwitlock/peer"
 	"godwitlock.example/godwitlock/permit"
@@ -83,6 +84,7 @@
 	broker       *broker.Broker
 	fallback     *broker.Broker
 	ingress      *ingress.Server
+	memory       *membudget.Budget
 	forward      *forward.Forwarder
 	grpc         *grpc.Server
 	loads        *loads
@@ -117,6 +119,7 @@
 func Listen(set Settings, p Platform) (*Node, error) {
 	n := &Node{settings: set, platform: p, view: view.New(), metrics: metric.New(), startedAt: clock.Boot()}
 	n.activeBounds.Store(&set.Bounds)
+	n.memory = membudget.New(membudget.CallerLimit(set.MemoryBytes))
 	n.log = declog.New(os.Stdout, string(set.VM))
 	for _, l := range []struct {
 		addr string
@@ -176,6 +179,7 @@
 	n.ingress = ingress.NewServer(n.platform.CallerHeaders(), n.forward.Serve, n.callerLimits)
 	n.ingress.OnAnswerDropped, n.ingress.OnUnread = n.recordDroppedAnswer, n.recordUnread
 	n.ingress.MaxConnections = func() int { return int(n.callerBound.Load()) }
+	n.ingress.Memory = n.memory
 	n.updateCallerBound()
 	n.grpc = grpc.NewServer(peer.ServerOptions()...)
 	fleetpb.RegisterFleetServer(n.grpc, fleet.NewServer(n.hub, n.broker, n.rates))
@@ -186,6 +190,7 @@
 	n.metrics.Gauge("config_age_seconds", func() float64 { return clock.Boot().Sub(n.view.Confirmed()).Seconds() })
 	n.metrics.Gauge("store_era", func() float64 { return float64(n.storeEra.current()) })
 	n.registerConnGauges()
+	n.registerMemoryGauges()
 	n.metrics.Gauge("customers_home", func() float64 { home, _ := n.rates.Customers(); return float64(home) })
 	n.metrics.Gauge("customers_pending", func() float64 { _, pending := n.rates.Customers(); return float64(pending) })
 	n.metrics.Gauge("home_waiting", func() float64 { w, _ := n.broker.Depth(); return float64(w) })
@@ -358,11 +363,13 @@
 
 func (n *Node) runSweep(ctx context.Context) error {
 	var conns connLog
+	var memory memoryLog
 	for ctx.Err() == nil {
 		pause(ctx, sweepInterval)
 		n.egress.Sweep()
 		n.updateCallerBound()
 		conns.tick(n)
+		memory.tick(n)
 		n.storeCalls.logCounts(n.log)
 	}
 	return ctx.Err()
