egress, backend, peer: a response with an unknown status is broken

Cause: net/http accepts any number of three characters as a status. The client of package backend passed 000, 099, 600, 999 and +20 on to the caller; package egress passed 600 and 999 on, and took them for refusals with Not-Executed; another VM's status was passed on unchecked. Orders, the store, control commands and health reports accepted none of them.

Change: only 200 to 599 are statuses of a response. Any other one is a broken answer whose request may have run, and its connection is not used again.

--- a/backend/client.go
+++ b/backend/client.go
@@ -130,6 +130,12 @@
 // accept validates the response head and converts the response to a
 // call.Response.
 func (c *Client) accept(ctx context.Context, req *call.Request, resp *http.Response, ex *exchange) (*call.Response, error) {
+	if !call.ValidStatus(resp.StatusCode) {
+		// net/http accepts any number of three characters, such as 000.
+		ex.abandon(resp)
+		return nil, execution.Fail(execution.ServerHead, errkind.OutcomeUnknown,
+			"the response of the backend server is not usable", errors.Errorf("status %q", resp.Status))
+	}
 	if got := resp.Header[call.HeaderRequestID]; len(got) != 1 || got[0] != req.ID {
 		ex.abandon(resp)
 		return nil, execution.Fail(execution.ResponseMismatch, errkind.OutcomeUnknown,
--- a/call/call.go
+++ b/call/call.go
@@ -98,3 +98,7 @@
 
 // Do implements Doer.
 func (f DoerFunc) Do(ctx context.Context, req *Request) (*Response, error) { return f(ctx, req) }
+
+// ValidStatus reports whether a status may be that of the response to a request. A
+// response with another one is broken, and its request may have run.
+func ValidStatus(status int) bool { return status >= 200 && status <= 599 }
--- a/egress/head.go
+++ b/egress/head.go
@@ -93,7 +93,7 @@
 }
 
 // statusLineStart is the form of the start of a status line. A d stands for any
-// digit and an s for the first digit of the status, which is not 0.
+// digit and an s for the first digit of the status, which is 1 to 5.
 const statusLineStart = "HTTP/1.d sdd"
 
 // checkStatusLine waits for the start of a status line. It fails at the first
@@ -116,7 +116,7 @@
 	case 'd':
 		return b >= '0' && b <= '9'
 	case 's':
-		return b >= '1' && b <= '9'
+		return b >= '1' && b <= '5'
 	}
 	return b == form
 }
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -267,6 +267,25 @@
 	require.Equal(t, http.StatusBadGateway, tf.Serve(context.Background(), newRequest("/w/1")).Status)
 }
 
+// Guards against a response whose status no caller knows and that reaches one, and against
+// a second run of its request.
+func TestInvalidStatusIsNotRelayed(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "999", "abc", "2000"} {
+		for _, length := range []string{"4", "100000"} {
+			tf := newTestForwarder(t, func(id string) string {
+				return "HTTP/1.1 " + status + " X\r\nRequest-Id: " + id + "\r\nSeal: s\r\nNot-Run: 1\r\nContent-Length: " + length + "\r\n\r\nbody"
+			})
+			ans := tf.Serve(context.Background(), newRequest("/w/1"))
+			require.Equal(t, 502, ans.Status, status)
+			require.Equal(t, "outcome_unknown\n", string(ans.Body), status)
+			require.Len(t, tf.received, 1, "it may have run, and is not sent again")
+			ans = tf.Serve(context.Background(), newRequest("/r/1"))
+			require.GreaterOrEqual(t, ans.Status, 500, status)
+			require.Less(t, ans.Status, 600, status)
+		}
+	}
+}
+
 // Guards against admitting requests with an unknown caller key, for a route that
 // does not exist, or while the configuration is not confirmed recently enough.
 func TestAdmission(t *testing.T) {
--- a/peer/client.go
+++ b/peer/client.go
@@ -256,6 +256,11 @@
 	case *peerpb.ForwardDown_Refusal:
 		return nil, decodeRefusal(f.Refusal)
 	case *peerpb.ForwardDown_Head:
+		if status := f.Head.GetStatus(); !call.ValidStatus(int(status)) {
+			cancel()
+			return nil, execution.Fail(execution.HomeStream, errkind.OutcomeUnknown, "home VM sent an unusable response",
+				errors.Errorf("status %d", status))
+		}
 		return newResponse(f.Head, stream, cancel), nil
 	}
 	return nil, errkind.New(errkind.OutcomeUnknown, "home VM sent an unexpected frame")
--- a/peer/forward_test.go
+++ b/peer/forward_test.go
@@ -74,6 +74,18 @@
 	}
 }
 
+// Guards against a status that no caller knows and that another VM, of an earlier
+// version, passes on.
+func TestForwardRejectsInvalidStatus(t *testing.T) {
+	for _, status := range []int{0, 99, 101, 600, 999, 2000} {
+		doer, _ := startHome(t, call.DoerFunc(func(context.Context, *call.Request) (*call.Response, error) {
+			return &call.Response{Status: status, Body: io.NopCloser(strings.NewReader("x"))}, nil
+		}))
+		_, err := doer.Do(t.Context(), &call.Request{ID: "r"})
+		require.Equal(t, errkind.OutcomeUnknown, errkind.Of(err), "%d: %v", status, err)
+	}
+}
+
 // Guards against a truncated response that is passed on as complete.
 func TestForwardReportsTruncatedResponse(t *testing.T) {
 	cut := call.DoerFunc(func(context.Context, *call.Request) (*call.Response, error) {
