platform, membudget: what the store sends is bounded by the VM's memory

Cause: a list might take 32 MB and a page 8 MB besides, which is most of the memory of the smallest VMs.

Change: both bounds follow the memory of the VM (1/16 and 1/32, at least 4 MB and 2 MB). A list beyond them is an error of the call, as before. The crowd tests also start a store that sends lists without end and a server whose heads have 7,000 short fields.

--- a/cmd/godwitlock-node/main.go
+++ b/cmd/godwitlock-node/main.go
@@ -40,7 +40,9 @@
 	if limit := membudget.CollectorLimit(settings.MemoryBytes); limit > 0 {
 		debug.SetMemoryLimit(limit)
 	}
-	n, err := node.Listen(settings, platform.New(settings.StoreAddr))
+	p := platform.New(settings.StoreAddr)
+	p.LimitMemory(settings.MemoryBytes)
+	n, err := node.Listen(settings, p)
 	if err != nil {
 		return err
 	}
--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -68,6 +68,9 @@
 	proc         *nodeproc.Process
 	front, ready string
 	log          string
+	store        *site.Store
+	// storeFault, unless nil, answers the calls to the store.
+	storeFault atomic.Pointer[http.HandlerFunc]
 }
 
 // freeAddrs returns n loopback addresses with free ports, which it does not reserve.
@@ -93,6 +96,7 @@
 func startVM(t *testing.T) *vm {
 	t.Helper()
 	store := site.NewStore()
+	v := &vm{t: t, store: store}
 	route := func(name, prefix, kind string) map[string]any {
 		return map[string]any{"name": name, "host": "h", "pathPrefix": prefix, "kind": kind, "public": true,
 			"timeoutS": site.RouteTimeoutS, "sloS": 0.5, "priority": 1, "service": "ledger", "attempts": 2}
@@ -110,7 +114,14 @@
 		t.Cleanup(s.Kill)
 		store.Put("servers", s.ID, s.StoreEntry())
 	}
-	srv := httptest.NewServer(store)
+	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if fault := v.storeFault.Load(); fault != nil {
+			(*fault)(w, r)
+			return
+		}
+		store.ServeHTTP(w, r)
+	}))
+	srv.Start()
 	t.Cleanup(srv.Close)
 	dir, addrs := t.TempDir(), freeAddrs(t, 4)
 	settings := filepath.Join(dir, "vm.toml")
@@ -119,7 +130,7 @@
 		Store: strings.TrimPrefix(srv.URL, "http://"),
 	}, site.Limits{RAMMb: memoryMB, MaxFds: maxFiles})
 	require.NoError(t, os.WriteFile(settings, []byte(text), 0o600))
-	v := &vm{t: t, front: addrs[0], ready: addrs[1], log: filepath.Join(dir, "vm.log")}
+	v.front, v.ready, v.log = addrs[0], addrs[1], filepath.Join(dir, "vm.log")
 	log, err := os.Create(v.log)
 	require.NoError(t, err)
 	defer func() { _ = log.Close() }()
@@ -190,6 +201,15 @@
 			}
 		}()
 	}
+	v.watch(func() {
+		over.Store(true)
+		conns.Range(func(nc, _ any) bool { _ = nc.(net.Conn).Close(); return true })
+		wg.Wait()
+	})
+}
+
+// watch observes the process for crowdTime, calls stop, and checks the bounds.
+func (v *vm) watch(stop func()) {
 	most := 0
 	for end := time.Now().Add(crowdTime); time.Now().Before(end) && v.proc.Running(); time.Sleep(20 * time.Millisecond) {
 		if n, err := v.proc.OpenFiles(); err == nil {
@@ -201,9 +221,7 @@
 	if v.proc.Running() {
 		peak, err = v.proc.PeakMemory()
 	}
-	over.Store(true)
-	conns.Range(func(nc, _ any) bool { _ = nc.(net.Conn).Close(); return true })
-	wg.Wait()
+	stop()
 	require.True(v.t, v.proc.Running(), "the process has ended; end of the log:\n%s", v.logEnd())
 	require.NoError(v.t, err)
 	v.t.Logf("peak resident memory %d MB, most open files %d", peak>>20, most)
--- /dev/null
+++ b/internal/crowd/others_test.go
@@ -0,0 +1,88 @@
+package crowd
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitlock.example/godwitlock/internal/knownred"
+	"godwitlock.example/godwitlock/standin/platform/site"
+)
+
+// checkStore answers the calls to the store by fault for crowdTime.
+func checkStore(t *testing.T, fault http.HandlerFunc) {
+	t.Helper()
+	knownred.Skip(t)
+	v := startVM(t)
+	v.storeFault.Store(&fault)
+	v.watch(func() { v.storeFault.Store(nil) })
+	v.awaitAnswer()
+}
+
+// giga is how long a response is that has no end.
+const giga = 1 << 30
+
+func storeItem(i int) string {
+	return fmt.Sprintf(`{"metadata":{"name":"s%d","rev":%d},"spec":{"service":"other","addr":"127.0.0.1:9","zone":"z0","slots":1,"state":"ready","seq":1,"text":%q}}`,
+		i, i+1, strings.Repeat("x", 900))
+}
+
+// Guards against a list of the store, or a response to a watch, of 1 GB on one page.
+func TestListOfTheStoreWithoutEnd(t *testing.T) {
+	checkStore(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Store-Era", "0")
+		_, _ = io.WriteString(w, `{"hasMore":false,"atRev":1000000,"items":[`)
+		for i, n := 0, 0; n < giga; i++ {
+			m, err := io.WriteString(w, storeItem(i)+",")
+			if err != nil {
+				return
+			}
+			n += m
+		}
+	})
+}
+
+// Guards against a list of ever more pages of the largest usual size.
+func TestListOfTheStoreWithoutLastPage(t *testing.T) {
+	checkStore(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Store-Era", "0")
+		if r.URL.Query().Has("watch") {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		after, _ := strconv.Atoi(strings.TrimPrefix(r.URL.Query().Get("after"), "s"))
+		var items []string
+		for i := range 1000 {
+			items = append(items, storeItem(after+1+i))
+		}
+		_, _ = fmt.Fprintf(w, `{"hasMore":true,"atRev":1000000,"items":[%s]}`, strings.Join(items, ","))
+	})
+}
+
+// Guards against responses of servers whose heads have very many short fields.
+func TestManyShortFieldsFromAServer(t *testing.T) {
+	knownred.Skip(t)
+	v := startVM(t)
+	s := &site.Server{ID: "bad", Service: "ledger", DataCentre: "z0", StartedAtMs: 1, MaxRunning: 400}
+	fields := map[string][]string{}
+	for i := range 7000 {
+		fields[fmt.Sprintf("%c%c%c", 'A'+i%26, 'a'+i/26%26, 'a'+i/676)] = []string{""}
+	}
+	s.Respond = func(w http.ResponseWriter, _ *http.Request) {
+		for name, values := range fields {
+			w.Header()[name] = values
+		}
+	}
+	require.NoError(t, s.Start())
+	t.Cleanup(s.Kill)
+	v.store.Put("servers", s.ID, s.StoreEntry())
+	request := head("GET", "/read/x") + "\r\n"
+	v.crowd(v.front, writeAndNeverRead([]byte(strings.Repeat(request, 16))))
+	v.store.Delete("servers", s.ID)
+	v.awaitAnswer()
+}
--- a/membudget/membudget.go
+++ b/membudget/membudget.go
@@ -194,3 +194,21 @@
 	}
 	return max(minLimit, int64(callerShare*float64(CollectorLimit(vmBytes)-ownBytes)))
 }
+
+const (
+	// storeResponseShare and storeListShare are the parts of a VM's memory that one
+	// response of the store, and a list over all its pages, may take. The list is held
+	// besides what is in force, and three kinds of objects may be listed at once.
+	storeResponseShare, storeListShare = 1.0 / 32, 1.0 / 16
+	// minStoreResponse and minStoreList leave room for a page, which is about 1 MB long.
+	minStoreResponse, minStoreList = 2 << 20, 4 << 20
+)
+
+// StoreLimits returns the bounds of a response of the store, and of a list over all its
+// pages, for a process on a VM with the given memory, 0 for none.
+func StoreLimits(vmBytes int64) (response, list int) {
+	if vmBytes <= 0 {
+		return 0, 0
+	}
+	return max(minStoreResponse, int(storeResponseShare*float64(vmBytes))), max(minStoreList, int(storeListShare*float64(vmBytes)))
+}
--- a/standin/platform/site/server.go
+++ b/standin/platform/site/server.go
@@ -36,6 +36,8 @@
 	StartedAtMs             int64
 	// ServiceTime is how long a request takes.
 	ServiceTime time.Duration
+	// MaxRunning is the number of requests that the server runs at once; 0 means Slots.
+	MaxRunning int
 	// Keyed makes the server run only requests for keys that it holds.
 	Keyed bool
 	// OnRun, if set, is called at the start of each run. OnRunEnd, if set, is
@@ -50,6 +52,8 @@
 	// is applied without a response. For 0, it is applied and answered at
 	// once.
 	OrderDelay func() time.Duration
+	// Respond, if set, may add to the head of each response that is not a refusal.
+	Respond func(w http.ResponseWriter, r *http.Request)
 	// DropResponse, if set, reports whether the response of a run is lost.
 	DropResponse func() bool
 
@@ -65,7 +69,7 @@
 	pause        time.Duration
 }
 
-// Slots is the number of requests that each server runs at once.
+// Slots is the number of requests that a server runs at once unless MaxRunning is set.
 const Slots = 3
 
 // Request headers by which a caller selects how long a run takes beyond
@@ -81,7 +85,7 @@
 	if err != nil {
 		return err
 	}
-	s.lis, s.slots, s.highestFence = lis, make(chan struct{}, Slots), make(map[int]int64)
+	s.lis, s.slots, s.highestFence = lis, make(chan struct{}, s.slotCount()), make(map[int]int64)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /grant", s.grant)
 	mux.HandleFunc("POST /release", s.release)
@@ -91,6 +95,13 @@
 	return nil
 }
 
+func (s *Server) slotCount() int {
+	if s.MaxRunning > 0 {
+		return s.MaxRunning
+	}
+	return Slots
+}
+
 // Addr returns the host:port on which the server listens.
 func (s *Server) Addr() string { return s.lis.Addr().String() }
 
@@ -107,7 +118,7 @@
 	}
 	s.mu.Unlock()
 	return map[string]any{
-		"service": s.Service, "addr": s.Addr(), "zone": s.DataCentre, "version": "v1", "slots": Slots,
+		"service": s.Service, "addr": s.Addr(), "zone": s.DataCentre, "version": "v1", "slots": s.slotCount(),
 		"state": state, "warmupLeftS": 0, "seq": 1, "born": s.StartedAtMs,
 	}
 }
@@ -292,8 +303,11 @@
 	if !finished || s.DropResponse != nil && s.DropResponse() {
 		panic(http.ErrAbortHandler)
 	}
+	if s.Respond != nil {
+		s.Respond(w, r)
+	}
 	w.Header().Set("Response-Seal", s.ID+"."+id)
-	w.Header().Set("Backend-Load", fmt.Sprintf("%d,0,%d", len(s.slots), Slots))
+	w.Header().Set("Backend-Load", fmt.Sprintf("%d,0,%d", len(s.slots), s.slotCount()))
 	lines, _ := strconv.Atoi(r.Header.Get(HeaderBodyLines))
 	_, _ = io.WriteString(w, Body(s.ID, id, lines))
 }
