node, peer: connections and calls of other VMs are bounded

Cause: any number of connections to the address for other VMs, and any number of calls on each, took descriptors and memory.

Change: three connections per member, 128 at least, are accepted; further ones are closed at once. A connection carries up to 4,000 calls.

Measured: TestConnectionsOfVMsAreBounded; go test -race ./node ./peer ./fleet.

--- a/node/connections.go
+++ b/node/connections.go
@@ -55,7 +55,9 @@
 
 func (n *Node) updateCallerBound() {
 	open, _ := n.egress.Connections()
-	bound := callerBound(n.settings.MaxFiles, len(n.view.Snapshot().Members), open)
+	vms := len(n.view.Snapshot().Members)
+	n.knownVMs.Store(int64(vms))
+	bound := callerBound(n.settings.MaxFiles, vms, open)
 	n.callerBound.Store(int64(boundByMemory(bound, n.memory.Limit())))
 }
 
@@ -72,6 +74,15 @@
 	return min(bound, most)
 }
 
+const (
+	// peerConnsPerVM and minPeerConns bound the connections from other VMs: each opens
+	// one, and a second one while the first is being replaced.
+	peerConnsPerVM, minPeerConns = 3, 128
+)
+
+// peerBound returns how many connections from other VMs may be open.
+func (n *Node) peerBound() int { return max(minPeerConns, peerConnsPerVM*int(n.knownVMs.Load())) }
+
 // openFilesDir has an entry for each open file descriptor of the process.
 const openFilesDir = "/proc/self/fd"
 
@@ -81,6 +92,9 @@
 	net.Listener
 	open atomic.Int64
 	most int
+	// bound, unless nil, returns how many connections may be open; further ones are
+	// closed at once.
+	bound func() int
 
 	mu sync.Mutex
 	// oldest holds the open connections in the order in which they were accepted.
@@ -93,6 +107,12 @@
 	if err != nil {
 		return nil, err
 	}
+	for l.bound != nil && l.open.Load() >= int64(l.bound()) {
+		_ = nc.Close()
+		if nc, err = l.Listener.Accept(); err != nil {
+			return nil, err
+		}
+	}
 	l.open.Add(1)
 	if l.most == 0 {
 		return &countedConn{Conn: nc, closed: sync.OnceFunc(func() { l.open.Add(-1) })}, nil
@@ -183,7 +203,7 @@
 // connections where nothing else does.
 func (n *Node) wrapListeners() {
 	n.callerLis = accept.New(n.callerLis, n.acceptReport("callers"))
-	n.peerLis = &countingListener{Listener: accept.New(n.peerLis, n.acceptReport("peers"))}
+	n.peerLis = &countingListener{Listener: accept.New(n.peerLis, n.acceptReport("peers")), bound: n.peerBound}
 	n.readyLis = &countingListener{Listener: accept.New(n.readyLis, n.acceptReport("ready")), most: maxProbeConns}
 	n.metricsLis = &countingListener{Listener: accept.New(n.metricsLis, n.acceptReport("metrics")), most: maxProbeConns}
 }
--- a/node/connections_test.go
+++ b/node/connections_test.go
@@ -208,3 +208,41 @@
 	require.Equal(t, 600, boundByMemory(0, 1000*ingress.ConnBytes))
 	require.Equal(t, minCallerBound, boundByMemory(1000, 1))
 }
+
+// Guards against connections to the address for other VMs that take all descriptors.
+func TestConnectionsOfVMsAreBounded(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	counting := &countingListener{Listener: lis, bound: func() int { return 2 }}
+	accepted := make(chan net.Conn, 10)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			nc, err := counting.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- nc
+		}
+	}()
+	first, err := net.Dial("tcp", lis.Addr().String())
+	require.NoError(t, err)
+	held := <-accepted
+	second, err := net.Dial("tcp", lis.Addr().String())
+	require.NoError(t, err)
+	<-accepted
+	third, err := net.Dial("tcp", lis.Addr().String())
+	require.NoError(t, err)
+	_, err = third.Read(make([]byte, 1))
+	require.Error(t, err, "closed at once")
+	require.NoError(t, held.Close())
+	fourth, err := net.Dial("tcp", lis.Addr().String())
+	require.NoError(t, err)
+	<-accepted
+	for _, nc := range []net.Conn{first, second, third, fourth} {
+		_ = nc.Close()
+	}
+	_ = lis.Close()
+	<-done
+}
--- a/node/node.go
+++ b/node/node.go
@@ -110,6 +110,8 @@
 	watchers       []*watcher
 	// callerBound is the bound of callers' connections, 0 for none.
 	callerBound atomic.Int64
+	// knownVMs is the number of members when callerBound was computed.
+	knownVMs atomic.Int64
 
 	callerLis, peerLis, readyLis, metricsLis net.Listener
 }
--- a/peer/client.go
+++ b/peer/client.go
@@ -39,6 +39,9 @@
 	// maxHeaderListBytes bounds the metadata of a call or a response. The calls
 	// carry none of their own; callers' headers are part of the messages.
 	maxHeaderListBytes = 64 << 10
+	// maxStreams bounds the calls in progress of one connection. Each request that
+	// waits for a slot of this VM's servers is one.
+	maxStreams = 4000
 )
 
 // HandshakeTimeout bounds the time from accepting a connection to the end of its
@@ -52,6 +55,7 @@
 		grpc.InitialWindowSize(windowBytes), grpc.InitialConnWindowSize(windowBytes),
 		grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes),
 		grpc.MaxHeaderListSize(maxHeaderListBytes), grpc.ConnectionTimeout(HandshakeTimeout),
+		grpc.MaxConcurrentStreams(maxStreams),
 	}
 }
 
