node: room for the connections of all VMs at a start

Cause: a new leader that does not know the members yet would have refused all VMs but 128 at a start of a large site.

Change: until they are known, a quarter of the descriptors, 1,024 at most.

Measured: TestBoundOfConnectionsOfVMs; not played on a large site.

--- a/node/connections.go
+++ b/node/connections.go
@@ -75,13 +75,25 @@
 }
 
 const (
-	// peerConnsPerVM and minPeerConns bound the connections from other VMs: each opens
-	// one, and a second one while the first is being replaced.
-	peerConnsPerVM, minPeerConns = 3, 128
+	// peerConnsPerVM bounds the connections from other VMs: each opens one, and a second
+	// one while the first is being replaced.
+	peerConnsPerVM = 3
+	// peerFileShare is the fraction of the descriptors that they may take, and
+	// minPeerConns their number, before the members are known: all VMs call a new
+	// leader at once.
+	peerFileShare, minPeerConns = 0.25, 1024
 )
 
 // peerBound returns how many connections from other VMs may be open.
-func (n *Node) peerBound() int { return max(minPeerConns, peerConnsPerVM*int(n.knownVMs.Load())) }
+func (n *Node) peerBound() int { return peerBound(n.settings.MaxFiles, int(n.knownVMs.Load())) }
+
+func peerBound(maxFiles, vms int) int {
+	unknown := minPeerConns
+	if maxFiles > 0 {
+		unknown = min(unknown, int(peerFileShare*float64(maxFiles)))
+	}
+	return max(unknown, peerConnsPerVM*vms)
+}
 
 // openFilesDir has an entry for each open file descriptor of the process.
 const openFilesDir = "/proc/self/fd"
--- a/node/connections_test.go
+++ b/node/connections_test.go
@@ -209,6 +209,13 @@
 	require.Equal(t, minCallerBound, boundByMemory(1000, 1))
 }
 
+// Guards against VMs that a new leader refuses before it knows them.
+func TestBoundOfConnectionsOfVMs(t *testing.T) {
+	require.Equal(t, 768, peerBound(3075, 0))
+	require.Equal(t, 1024, peerBound(0, 69))
+	require.Equal(t, 1200, peerBound(3075, 400))
+}
+
 // Guards against connections to the address for other VMs that take all descriptors.
 func TestConnectionsOfVMsAreBounded(t *testing.T) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
