--- a/cmd/godwitlock-node/main.go
+++ b/cmd/godwitlock-node/main.go
@@ -10,6 +10,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"godwitlock.example/godwitlock/membudget"
 	"godwitlock.example/godwitlock/node"
 	"godwitlock.example/godwitlock/platform"
 )
@@ -36,7 +37,12 @@
 	if err != nil {
 		return err
 	}
-	n, err := node.Listen(settings, platform.New(settings.StoreAddr))
+	if limit := membudget.CollectorLimit(settings.MemoryBytes); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
+	p := platform.New(settings.StoreAddr)
+	p.LimitMemory(settings.MemoryBytes)
+	n, err := node.Listen(settings, p)
 	if err != nil {
 		return err
 	}
--- a/ingress/readahead.go
+++ b/ingress/readahead.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+
+	"godwitlock.example/godwitlock/membudget"
 )
 
 const (
@@ -25,19 +27,23 @@
 // the one that a request before it waits for.
 type readAhead struct {
 	source io.ReadCloser
+	c      *conn
+	// held is what the buffer holds at most, in the memory budget.
+	held int64
 
 	mu      sync.Mutex
 	changed *sync.Cond
 	buf     bytes.Buffer
 	err     error
 	closed  bool
-	// limit bounds buf. extra is the part of it that is reserved in held.
+	// limit bounds buf. extra is the part of it that is reserved in reserved, which all
+	// connections share; reserved is nil if nothing is.
 	limit, extra int64
-	held         *atomic.Int64
+	reserved     *atomic.Int64
 }
 
-func newReadAhead(source io.ReadCloser) *readAhead {
-	r := &readAhead{source: source, limit: maxReadAheadBytes}
+func newReadAhead(source io.ReadCloser, c *conn) *readAhead {
+	r := &readAhead{source: source, c: c, limit: maxReadAheadBytes}
 	r.changed = sync.NewCond(&r.mu)
 	return r
 }
@@ -59,7 +65,10 @@
 func (r *readAhead) put(data []byte, err error) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.buf.Write(data)
+	if !r.closed {
+		r.buf.Write(data)
+		r.hold(int64(r.buf.Cap()))
+	}
 	r.err = err
 	r.changed.Broadcast()
 	for int64(r.buf.Len()) >= r.limit && r.err == nil && !r.closed {
@@ -68,6 +77,15 @@
 	return r.err == nil && !r.closed
 }
 
+// hold accounts for a buffer of n bytes. The caller holds mu.
+func (r *readAhead) hold(n int64) {
+	if n == r.held {
+		return
+	}
+	r.c.add(membudget.Responses, n-r.held)
+	r.held = n
+}
+
 // Read implements io.Reader.
 func (r *readAhead) Read(p []byte) (int, error) {
 	r.mu.Lock()
@@ -87,10 +105,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.closed = true
-	if r.held != nil {
-		r.held.Add(-r.extra)
-		r.held = nil
+	if r.reserved != nil {
+		r.reserved.Add(-r.extra)
+		r.reserved = nil
 	}
+	r.buf = bytes.Buffer{}
+	r.hold(0)
 	r.changed.Broadcast()
 	return nil
 }
@@ -98,8 +118,8 @@
 // await waits until the source has ended, the buffer is full or ctx ends, and reports
 // whether the source has ended; with fewer bytes than length, unless that is negative, it
 // has failed. The buffer grows to maxHeldBackBytes as long as all
-// connections together, counted by held, stay within maxAllHeldBackBytes.
-func (r *readAhead) await(ctx context.Context, length int64, held *atomic.Int64) bool {
+// connections together, counted by reserved, stay within maxAllHeldBackBytes.
+func (r *readAhead) await(ctx context.Context, length int64, reserved *atomic.Int64) bool {
 	defer context.AfterFunc(ctx, func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -108,7 +128,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for r.err == nil && ctx.Err() == nil {
-		if int64(r.buf.Len()) >= r.limit && !r.grow(held) {
+		if int64(r.buf.Len()) >= r.limit && !r.grow(reserved) {
 			break
 		}
 		r.changed.Wait()
@@ -120,16 +140,16 @@
 }
 
 // grow raises the limit once. The caller holds mu.
-func (r *readAhead) grow(held *atomic.Int64) bool {
+func (r *readAhead) grow(reserved *atomic.Int64) bool {
 	const extra = maxHeldBackBytes - maxReadAheadBytes
-	if r.held != nil || r.closed {
+	if r.reserved != nil || r.closed {
 		return false
 	}
-	if held.Add(extra) > maxAllHeldBackBytes {
-		held.Add(-extra)
+	if reserved.Add(extra) > maxAllHeldBackBytes {
+		reserved.Add(-extra)
 		return false
 	}
-	r.held, r.extra, r.limit = held, extra, maxHeldBackBytes
+	r.reserved, r.extra, r.limit = reserved, extra, maxHeldBackBytes
 	r.changed.Broadcast()
 	return true
 }
@@ -175,7 +195,7 @@
 	}
 	ahead, ok := resp.Stream.(*readAhead)
 	if !ok {
-		ahead = newReadAhead(resp.Stream)
+		ahead = newReadAhead(resp.Stream, c)
 		resp.Stream = ahead
 		go ahead.fill()
 	}
--- a/node/connections.go
+++ b/node/connections.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"container/list"
 	"net"
 	"os"
 	"sync"
@@ -11,6 +12,7 @@
 
 	"godwitlock.example/godwitlock/accept"
 	"godwitlock.example/godwitlock/clock"
+	"godwitlock.example/godwitlock/ingress"
 )
 
 // connLogInterval is the interval between two log lines with the numbers of open
@@ -46,18 +48,69 @@
 	return max(minCallerBound, int(rest-servers))
 }
 
+// connMemoryShare is the part of the memory budget that callers' connections may take
+// before anything is sent on them. Below the bound, the one that has been idle longest is
+// closed for a new one; without memory, new ones are refused.
+const connMemoryShare = 0.6
+
 func (n *Node) updateCallerBound() {
 	open, _ := n.egress.Connections()
-	n.callerBound.Store(int64(callerBound(n.settings.MaxFiles, len(n.view.Snapshot().Members), open)))
+	vms := len(n.view.Snapshot().Members)
+	n.knownVMs.Store(int64(vms))
+	bound := callerBound(n.settings.MaxFiles, vms, open)
+	n.callerBound.Store(int64(boundByMemory(bound, n.memory.Limit())))
+}
+
+// boundByMemory returns the lower of a bound of callers' connections, 0 for none, and
+// that of a memory budget.
+func boundByMemory(bound int, budget int64) int {
+	if budget == 0 {
+		return bound
+	}
+	most := max(minCallerBound, int(connMemoryShare*float64(budget)/ingress.ConnBytes))
+	if bound == 0 {
+		return most
+	}
+	return min(bound, most)
+}
+
+const (
+	// peerConnsPerVM bounds the connections from other VMs: each opens one, and a second
+	// one while the first is being replaced.
+	peerConnsPerVM = 3
+	// peerFileShare is the fraction of the descriptors that they may take, and
+	// minPeerConns their number, before the members are known: all VMs call a new
+	// leader at once.
+	peerFileShare, minPeerConns = 0.25, 1024
+)
+
+// peerBound returns how many connections from other VMs may be open.
+func (n *Node) peerBound() int { return peerBound(n.settings.MaxFiles, int(n.knownVMs.Load())) }
+
+func peerBound(maxFiles, vms int) int {
+	unknown := minPeerConns
+	if maxFiles > 0 {
+		unknown = min(unknown, int(peerFileShare*float64(maxFiles)))
+	}
+	return max(unknown, peerConnsPerVM*vms)
 }
 
 // openFilesDir has an entry for each open file descriptor of the process.
 const openFilesDir = "/proc/self/fd"
 
-// countingListener counts the connections that it accepted and that are open.
+// countingListener counts the connections that it accepted and that are open. If there
+// are more than most, unless that is 0, it closes the oldest one.
 type countingListener struct {
 	net.Listener
 	open atomic.Int64
+	most int
+	// bound, unless nil, returns how many connections may be open; further ones are
+	// closed at once.
+	bound func() int
+
+	mu sync.Mutex
+	// oldest holds the open connections in the order in which they were accepted.
+	oldest list.List
 }
 
 // Accept implements net.Listener.
@@ -66,8 +119,34 @@
 	if err != nil {
 		return nil, err
 	}
+	for l.bound != nil && l.open.Load() >= int64(l.bound()) {
+		_ = nc.Close()
+		if nc, err = l.Listener.Accept(); err != nil {
+			return nil, err
+		}
+	}
 	l.open.Add(1)
-	return &countedConn{Conn: nc, closed: sync.OnceFunc(func() { l.open.Add(-1) })}, nil
+	if l.most == 0 {
+		return &countedConn{Conn: nc, closed: sync.OnceFunc(func() { l.open.Add(-1) })}, nil
+	}
+	c := &countedConn{Conn: nc}
+	l.mu.Lock()
+	element := l.oldest.PushBack(c)
+	var excess *countedConn
+	if l.oldest.Len() > l.most {
+		excess = l.oldest.Front().Value.(*countedConn)
+	}
+	c.closed = sync.OnceFunc(func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.oldest.Remove(element)
+		l.open.Add(-1)
+	})
+	l.mu.Unlock()
+	if excess != nil {
+		_ = excess.Close()
+	}
+	return c, nil
 }
 
 type countedConn struct {
@@ -136,9 +215,9 @@
 // connections where nothing else does.
 func (n *Node) wrapListeners() {
 	n.callerLis = accept.New(n.callerLis, n.acceptReport("callers"))
-	n.peerLis = &countingListener{Listener: accept.New(n.peerLis, n.acceptReport("peers"))}
-	n.readyLis = &countingListener{Listener: accept.New(n.readyLis, n.acceptReport("ready"))}
-	n.metricsLis = &countingListener{Listener: accept.New(n.metricsLis, n.acceptReport("metrics"))}
+	n.peerLis = &countingListener{Listener: accept.New(n.peerLis, n.acceptReport("peers")), bound: n.peerBound}
+	n.readyLis = &countingListener{Listener: accept.New(n.readyLis, n.acceptReport("ready")), most: maxProbeConns}
+	n.metricsLis = &countingListener{Listener: accept.New(n.metricsLis, n.acceptReport("metrics")), most: maxProbeConns}
 }
 
 // acceptReport returns a function that logs the changes of a listener.
