--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -269,8 +269,12 @@
 		next = reading
 	}
 	behind := c.state.owed() > 0
-	next = c.state.start(next, c.requestsEnd.Load(), c.srv.draining.Load())
-	if !c.enqueue(p) {
+	next, ok := c.state.start(next, c.requestsEnd.Load(), c.srv.draining.Load())
+	if !ok {
+		<-c.ctx.Done()
+		c.reportNotStarted(p)
+	}
+	if !ok || !c.enqueue(p) {
 		c.release(p)
 		return false
 	}
@@ -310,10 +314,16 @@
 	case c.pending <- p:
 		return true
 	case <-c.writerDone:
-		var end *ConnectionEnd
-		if errors.As(context.Cause(c.ctx), &end) {
-			c.reportDropped(p, end, max(0, c.state.owed()-1), 0)
-		}
+		c.reportNotStarted(p)
 		return false
 	}
 }
+
+// reportNotStarted reports a request that was read and not started because the connection
+// has ended.
+func (c *conn) reportNotStarted(p *pendingResponse) {
+	var end *ConnectionEnd
+	if errors.As(context.Cause(c.ctx), &end) {
+		c.reportDropped(p, end, max(0, c.state.owed()-1), 0)
+	}
+}
--- a/ingress/state.go
+++ b/ingress/state.go
@@ -81,21 +81,28 @@
 // to do next. end is the position in the received bytes after the request. It returns
 // what readLoop does: while draining it reads a request behind another one only if
 // its first byte was received before Drain. It waits while a response that may break off is
-// being written.
-func (s *connState) start(next readerState, end int64, draining bool) readerState {
+// being written, and returns false if the connection ended with that response: the request
+// must not run then.
+func (s *connState) start(next readerState, end int64, draining bool) (readerState, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	defer s.update()
 	s.streamed.L = &s.mu
-	for s.streaming && !s.ended {
-		s.streamed.Wait()
+	if s.streaming {
+		for s.streaming && !s.ended {
+			s.streamed.Wait()
+		}
+		if s.ended {
+			s.reader = stopped
+			return stopped, false
+		}
 	}
 	s.unanswered++
 	s.reader = next
 	if next == reading && draining && end >= s.drainedAt {
 		s.reader = stopped
 	}
-	return s.reader
+	return s.reader, true
 }
 
 // beginAnswer records that a response is ready to be written, and reports whether
--- a/ingress/state_test.go
+++ b/ingress/state_test.go
@@ -12,7 +12,9 @@
 	var s connState
 	require.True(t, s.wait(false))
 	require.True(t, s.beginRead())
-	require.Equal(t, waiting, s.start(waiting, 0, false))
+	next, ok := s.start(waiting, 0, false)
+	require.True(t, ok)
+	require.Equal(t, waiting, next)
 	require.True(t, s.wait(false))
 	require.True(t, s.beginAnswer(false, true))
 	require.False(t, s.beginRead())
--- a/ingress/write.go
+++ b/ingress/write.go
@@ -36,6 +36,10 @@
 			resp.OnWritten(nil)
 		}
 		c.lastWrite.Store(time.Now().UnixNano())
+		if err != nil {
+			// A request that waits for the end of this response must not start.
+			c.state.end()
+		}
 		c.state.endAnswer()
 		c.list.remove()
 		c.release(p)
