forward, fleet: expected work and due times travel with each request

Cause: the home VM of a pool does not know the work of the requests of other VMs, nor when their responses are due, so its queue cannot use them.

Requests of VMs that send none of them are read as before.

Measured: go test -race ./fleet ./forward ./node passes; one earlier run of ./node ended with a failed check inside the race detector (tsan_rtl.cpp:346).

--- a/fleet/server.go
+++ b/fleet/server.go
@@ -4,6 +4,7 @@
 	stdgzip "compress/gzip"
 	"context"
 	"sync"
+	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -15,6 +16,7 @@
 	"godwitlock.example/godwitlock/fleet/fleetpb"
 	"godwitlock.example/godwitlock/permit"
 	"godwitlock.example/godwitlock/topo"
+	"godwitlock.example/godwitlock/workload"
 )
 
 // Server implements fleetpb.FleetServer for the calls of other VMs.
@@ -85,18 +87,7 @@
 
 // Acquire implements fleetpb.FleetServer.
 func (s *Server) Acquire(ctx context.Context, req *fleetpb.AcquireRequest) (*fleetpb.AcquireResponse, error) {
-	now := clock.Boot()
-	r := permit.Request{
-		Customer: topo.CustomerID(req.GetCustomer()), Priority: int(req.GetPriority()),
-		StartBy: now.Add(millis(req.GetPatienceMs())), PromptBy: now.Add(millis(req.GetPromptMs())),
-		Lease: millis(req.GetLeaseMs()), DataCentre: topo.DataCentreName(req.GetDataCentre()),
-	}
-	for _, id := range req.GetAvoid() {
-		r.Avoid = append(r.Avoid, topo.ServerID(id))
-	}
-	for _, id := range req.GetExcluded() {
-		r.Excluded = append(r.Excluded, topo.ServerID(id))
-	}
+	r := permitRequest(clock.Boot(), req)
 	d, ok := s.broker.Acquire(ctx, req.GetPool(), r)
 	if !ok {
 		return nil, status.FromContextError(ctx.Err()).Err()
@@ -115,6 +106,28 @@
 	}, nil
 }
 
+// permitRequest returns the request of another VM. VMs of earlier versions send neither
+// the work nor the times by which the response is due.
+func permitRequest(now time.Time, req *fleetpb.AcquireRequest) permit.Request {
+	r := permit.Request{
+		Customer: topo.CustomerID(req.GetCustomer()), Priority: int(req.GetPriority()),
+		StartBy: now.Add(millis(req.GetPatienceMs())), PromptBy: now.Add(millis(req.GetPromptMs())),
+		Lease: millis(req.GetLeaseMs()), DataCentre: topo.DataCentreName(req.GetDataCentre()), Route: req.GetRoute(),
+		ObjectiveBy: timeAfter(now, req.GetObjectiveMs()), AnswerBy: timeAfter(now, req.GetAnswerMs()),
+	}
+	if us := req.GetWorkUs(); us > 0 {
+		// The sender sends an estimate only when it has enough samples.
+		r.Work = workload.Estimate{Mean: micros(us), Deviation: micros(max(0, req.GetDeviationUs())), Samples: 1}
+	}
+	for _, id := range req.GetAvoid() {
+		r.Avoid = append(r.Avoid, topo.ServerID(id))
+	}
+	for _, id := range req.GetExcluded() {
+		r.Excluded = append(r.Excluded, topo.ServerID(id))
+	}
+	return r
+}
+
 // Finish implements fleetpb.FleetServer.
 func (s *Server) Finish(_ context.Context, req *fleetpb.FinishRequest) (*fleetpb.FinishResponse, error) {
 	for _, f := range req.GetFinished() {
--- a/fleet/slots.go
+++ b/fleet/slots.go
@@ -173,7 +173,9 @@
 	out := &fleetpb.AcquireRequest{
 		Vm: string(vm), Pool: pool, Priority: int32(r.Priority), Customer: string(r.Customer),
 		PatienceMs: r.StartBy.Sub(now).Milliseconds(), PromptMs: r.PromptBy.Sub(now).Milliseconds(),
-		LeaseMs: r.Lease.Milliseconds(), DataCentre: string(r.DataCentre),
+		LeaseMs: r.Lease.Milliseconds(), DataCentre: string(r.DataCentre), Route: r.Route,
+		WorkUs: r.Work.Mean.Microseconds(), DeviationUs: r.Work.Deviation.Microseconds(),
+		ObjectiveMs: millisUntil(now, r.ObjectiveBy), AnswerMs: millisUntil(now, r.AnswerBy),
 	}
 	for _, id := range r.Avoid {
 		out.Avoid = append(out.Avoid, string(id))
@@ -184,4 +186,24 @@
 	return out
 }
 
+// millisUntil returns the milliseconds from now until t, and 0 for a zero time. A time
+// within a millisecond of now is sent as 1 ms, since 0 says that it is not known.
+func millisUntil(now, t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	if ms := t.Sub(now).Milliseconds(); ms != 0 {
+		return ms
+	}
+	return 1
+}
+
+// timeAfter is the inverse of millisUntil.
+func timeAfter(now time.Time, ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return now.Add(millis(ms))
+}
+
 func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/forward/acquire.go
+++ b/forward/acquire.go
@@ -12,6 +12,7 @@
 	"godwitlock.example/godwitlock/permit"
 	"godwitlock.example/godwitlock/topo"
 	"godwitlock.example/godwitlock/view"
+	"godwitlock.example/godwitlock/workload"
 )
 
 // grantedServer is a server and the slot that was granted on it.
@@ -135,12 +136,10 @@
 	case left <= minAttemptTime:
 		return grantedServer{}, &refusal{errkind.QueueFull, defaultRetryAfter, "request's deadline is too near for an attempt: " + r.deadlineCause.Error()}
 	}
-	objectiveLeft := r.route.Objective - now.Sub(r.Arrived)
-	slot, d := f.Slots.Acquire(ctx, snap, pool, permit.Request{
-		Customer: r.customerID(), Priority: r.priority(), Avoid: r.triedServers, Excluded: r.paused,
-		StartBy: boot.Add(time.Duration(float64(left) * slotWaitShare)), PromptBy: boot.Add(objectiveLeft / 2),
-		Lease: left + slotLeaseMargin,
-	})
+	slot, d := f.Slots.Acquire(ctx, snap, pool, f.permitRequest(r, now, boot))
+	if slot != nil {
+		slot = measuredSlot{slot, f.Work, r.route.Name}
+	}
 	if d.Verdict != permit.Granted {
 		reason := "no slot granted in pool " + pool
 		if ctx.Err() != nil {
@@ -169,6 +168,34 @@
 	return grantedServer{Server: server, slot: slot}, nil
 }
 
+// permitRequest describes the request to the home VM of a pool. now and boot are the
+// same time, of the two clocks.
+func (f *Forwarder) permitRequest(r *request, now, boot time.Time) permit.Request {
+	left, objectiveLeft := r.deadline.Sub(now), r.route.Objective-now.Sub(r.Arrived)
+	out := permit.Request{
+		Customer: r.customerID(), Priority: r.priority(), Avoid: r.triedServers, Excluded: r.paused,
+		StartBy: boot.Add(time.Duration(float64(left) * slotWaitShare)), PromptBy: boot.Add(objectiveLeft / 2),
+		Lease: left + slotLeaseMargin, Route: r.route.Name, Work: f.Work.Of(r.route.Name), AnswerBy: boot.Add(left),
+	}
+	if r.route.Objective > 0 {
+		out.ObjectiveBy = boot.Add(objectiveLeft)
+	}
+	return out
+}
+
+// measuredSlot is a slot that records the service time of its request.
+type measuredSlot struct {
+	Slot
+	work  *workload.Table
+	route string
+}
+
+// Finish implements Slot.
+func (s measuredSlot) Finish(r permit.Result) {
+	s.work.Record(s.route, r.ServiceTime)
+	s.Slot.Finish(r)
+}
+
 // awaitOwner returns the server that owns the request's key, and the snapshot
 // in which it does. While the key is being handed over, it waits as long as
 // changeWait says, unless the service has no usable server. With newOwnerOnly it also
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -26,6 +26,7 @@
 	"godwitlock.example/godwitlock/spread"
 	"godwitlock.example/godwitlock/topo"
 	"godwitlock.example/godwitlock/view"
+	"godwitlock.example/godwitlock/workload"
 )
 
 // Slots grants slots of backend servers.
@@ -81,6 +82,8 @@
 	Budgets *Budgets
 	// Pauses holds the servers that want no requests from this VM for some time.
 	Pauses *pushback.Table
+	// Work holds the expected service times of the routes.
+	Work *workload.Table
 }
 
 // Forwarder answers callers' requests. It is safe for concurrent use.
@@ -109,6 +112,9 @@
 	if f.Pauses == nil {
 		f.Pauses = &pushback.Table{}
 	}
+	if f.Work == nil {
+		f.Work = workload.New()
+	}
 	f.lateCtx, f.late = context.WithCancel(context.Background())
 	f.stopCtx, f.stop = context.WithCancel(context.Background())
 	f.abandonCtx, f.abandon = context.WithCancel(context.Background())
--- a/node/node.go
+++ b/node/node.go
@@ -33,6 +33,7 @@
 	"godwitlock.example/godwitlock/routemap"
 	"godwitlock.example/godwitlock/topo"
 	"godwitlock.example/godwitlock/view"
+	"godwitlock.example/godwitlock/workload"
 )
 
 const (
@@ -172,6 +173,7 @@
 		Slots:   fleet.NewSlots(n.settings.VM, n.settings.DataCentre, n.peers, n.broker, n.fallback),
 		Budgets: forward.NewBudgets(n.bounds().RetryShare*retryShareFraction, n.retrySlack),
 		Pauses:  &n.pauses,
+		Work:    workload.New(),
 	})
 	n.ingress = ingress.NewServer(n.platform.CallerHeaders(), n.forward.Serve, n.callerLimits)
 	n.ingress.OnAnswerDropped, n.ingress.OnUnread = n.recordDroppedAnswer, n.recordUnread
