permit: tests of single decisions; arrivals of the same priority are not awaited

Cause: five decisions could be removed without a failing test, and the estimated wait of a prompt request counted arrivals that start earlier, which served callers no better.

Change: tests of the latest start, the margin, the limit of a floor, the work told by other VMs and the floor of older VMs, whose callers now return with fresh requests. Arrivals of the same priority no longer add to the estimated wait.

--- a/permit/kinds.go
+++ b/permit/kinds.go
@@ -22,10 +22,10 @@
 // kind counts the requests of one route in a pool.
 type kind struct {
 	priority int
-	// arrivals is the rate of offered requests. work and slack are the expected work
-	// and the time until the latest prompt start of the last one.
-	arrivals    arrivalRate
-	work, slack time.Duration
+	// arrivals is the rate of offered requests, and work the expected work of the last
+	// one.
+	arrivals arrivalRate
+	work     time.Duration
 	// decided and served are decaying counts of the requests that got a slot or were
 	// refused, and of those that got a slot. A request that is queued for the floor
 	// counts at once.
@@ -87,7 +87,7 @@
 func (k *kind) offer(now time.Time, r Request) {
 	if k != nil {
 		k.arrivals.add(now)
-		k.work, k.slack = r.Work.Mean, r.PromptBy.Sub(now)
+		k.work = r.Work.Mean
 	}
 }
 
@@ -153,18 +153,6 @@
 	return work
 }
 
-// earlierStarts returns the work that arrives within wait and precedes a prompt request
-// of the same priority because its latest prompt start is earlier.
-func (ks kinds) earlierStarts(now time.Time, r Request, wait time.Duration) time.Duration {
-	work := 0.0
-	for _, k := range ks {
-		if within := min(wait, r.PromptBy.Sub(now)-k.slack); k.priority == r.Priority && within > 0 {
-			work += k.arrivals.perSecond(now) * k.work.Seconds() * within.Seconds()
-		}
-	}
-	return time.Duration(work * float64(time.Second))
-}
-
 // arriving returns all arriving work, in seconds per second.
 func (ks kinds) arriving(now time.Time) float64 {
 	work := 0.0
--- a/permit/known_test.go
+++ b/permit/known_test.go
@@ -144,6 +144,60 @@
 	require.Equal(t, Queued, p.Offer(start, r).Verdict)
 }
 
+// Guards against a latest start that does not follow from the work: a request that would
+// start within most of its time, but end after it, waits in vain.
+func TestLatestStartFollowsTheWork(t *testing.T) {
+	offer := func(work time.Duration) Verdict {
+		p := newPool(Server{ID: "s", Slots: 10})
+		fill(t, p, 10)
+		return p.Offer(start, known(1, start, "r", work, 500*time.Millisecond, time.Second)).Verdict
+	}
+	require.Equal(t, Queued, offer(700*time.Millisecond))
+	require.Equal(t, Refused, offer(980*time.Millisecond))
+}
+
+// Guards against a request of varying work that starts as late as one whose work is
+// always the same.
+func TestDeviationIsAMargin(t *testing.T) {
+	p := newPool(Server{ID: "s", Slots: 1})
+	r := known(1, start, "r", 300*time.Millisecond, time.Second, 4*time.Second)
+	p.measure(start)
+	steady, _ := p.latestStarts(r)
+	r.Work.Deviation = 100 * time.Millisecond
+	varying, _ := p.latestStarts(r)
+	require.Equal(t, start.Add(700*time.Millisecond), steady)
+	require.Equal(t, time.Duration(promptMargin*100)*time.Millisecond, steady.Sub(varying))
+}
+
+// Guards against a floor of a less urgent kind at the cost of a more urgent one that is
+// served even less often.
+func TestFloorDoesNotPassAMoreUrgentKind(t *testing.T) {
+	ks := kinds{}
+	count := func(route string, priority, served, decided int) *kind {
+		k := ks.of(Request{Route: route, Priority: priority})
+		for i := range decided {
+			k.decide(start, i < served)
+		}
+		return k
+	}
+	count("most", 1, 90, 100)
+	rest := count("rest", 2, 5, 100)
+	require.True(t, ks.belowFloor(start, rest))
+	count("urgent", 0, 2, 100)
+	require.False(t, ks.belowFloor(start, rest))
+}
+
+// Guards against a VM that rarely sends a route, and so has no estimate of its work,
+// whose requests are ordered as if nothing were known of them.
+func TestWorkIsKnownFromOtherVMs(t *testing.T) {
+	p := newPool(Server{ID: "s", Slots: 1})
+	fill(t, p, 1)
+	r := known(1, start, "fill", 0, time.Second, 4*time.Second)
+	r.Work = workload.Estimate{}
+	require.Equal(t, Queued, p.Offer(start, r).Verdict)
+	require.Equal(t, 100*time.Millisecond, p.queue.byID[1].Work.Mean)
+}
+
 // Guards against a Retry-After that does not tell when there is room: a caller behind a
 // longer queue of more urgent requests must wait longer, and callers must not return
 // together or when too little of their time is left.
@@ -248,7 +302,7 @@
 func overload(request func(id uint64, now time.Time) (Request, string)) (got map[string]float64, all float64) {
 	p := newPool(Server{ID: "s", Slots: 1})
 	sum, offered, kinds := map[string]float64{}, map[string]float64{}, map[uint64]string{}
-	again := map[int][]Request{}
+	again := map[int][]uint64{}
 	var running uint64
 	step := 0
 	const stepTime = 25 * time.Millisecond
@@ -259,8 +313,7 @@
 			sum[kinds[d.ID]]++
 		case d.Verdict == Refused && r.ID != 0:
 			at := step + 1 + int(d.RetryAfter/stepTime)
-			r.ID += 1_000_000
-			again[at] = append(again[at], r)
+			again[at] = append(again[at], r.ID)
 		}
 	}
 	requests := map[uint64]Request{}
@@ -279,7 +332,9 @@
 			decide(requests[d.ID], d)
 		}
 		decide(r, p.Offer(now, r))
-		for _, r := range again[step] {
+		for _, id := range again[step] {
+			r, _ := request(id, now)
+			r.ID += 1_000_000
 			decide(Request{}, p.Offer(now, r))
 		}
 	}
--- a/permit/throughput.go
+++ b/permit/throughput.go
@@ -94,13 +94,11 @@
 }
 
 // promptWait returns the estimated time until a prompt request starts that has work
-// ahead of it. More urgent requests that arrive meanwhile precede it, and those of its
-// priority whose latest prompt start is earlier. On average, half of the time between
-// two free slots has passed already.
+// ahead of it. More urgent requests that arrive meanwhile precede it. On average, half of
+// the time between two free slots has passed already.
 func (p *Pool) promptWait(now time.Time, r Request, ahead time.Duration) time.Duration {
 	left := max(p.pace.workPerSecond-p.kinds.overtaking(now, r.Priority), minLateShare*p.pace.workPerSecond)
-	wait := p.workTime(ahead+r.Work.Mean/2, left)
-	return wait + p.workTime(p.kinds.earlierStarts(now, r, wait), left)
+	return p.workTime(ahead+r.Work.Mean/2, left)
 }
 
 // lateWait returns the estimated time until a late request starts that has work ahead
