--- a/permit/known_test.go
+++ b/permit/known_test.go
@@ -166,6 +166,7 @@
 	r.Work.Deviation = 100 * time.Millisecond
 	varying, _ := p.latestStarts(r)
 	require.Equal(t, start.Add(700*time.Millisecond), steady)
+	require.Positive(t, steady.Sub(varying))
 	require.Equal(t, time.Duration(promptMargin*100)*time.Millisecond, steady.Sub(varying))
 }
 
