--- a/permit/server.go
+++ b/permit/server.go
@@ -55,8 +55,10 @@
 	// expiry is when the slot is freed even if the request was not reported as
 	// finished.
 	expiry time.Time
-	// work is the expected service time at a server of average speed.
-	work time.Duration
+	// work is the expected service time at a server of average speed; workKnown says that
+	// it is that of the request's route and not only of the pool.
+	work      time.Duration
+	workKnown bool
 	// bytes is the size of the request's body.
 	bytes int64
 }
@@ -150,7 +152,7 @@
 	}
 	s.lastStart = now
 	s.heldBytes += r.Bytes
-	s.running[r.ID] = slotLease{since: now, expiry: now.Add(r.Lease), work: work, bytes: r.Bytes}
+	s.running[r.ID] = slotLease{since: now, expiry: now.Add(r.Lease), work: work, workKnown: r.workKnown(), bytes: r.Bytes}
 	return s.countStart(now)
 }
 
