--- a/permit/warmth.go
+++ b/permit/warmth.go
@@ -54,8 +54,11 @@
 	return s.WarmBudget > 0 && w.answered && !now.Before(w.pausedUntil) && w.started >= float64(s.WarmBudget)
 }
 
-// countStart counts a start and reports whether a probe is due: at half of the budget, so
-// that the answer comes before the rest is used.
+// probeAt is the part of the budget at which a probe is due. It takes some milliseconds on a
+// new connection, in which a server hardly uses the rest.
+const probeAt = 0.75
+
+// countStart counts a start and reports whether a probe is due.
 func (s *server) countStart(now time.Time) (probe bool) {
 	w := &s.warmth
 	if s.WarmBudget == 0 || now.Before(w.pausedUntil) {
@@ -68,7 +71,7 @@
 	}
 	s.drain(now)
 	w.started++
-	if 2*w.started < float64(s.WarmBudget) || !w.probeSent.IsZero() && now.Sub(w.probeSent) < probeLost {
+	if w.started < probeAt*float64(s.WarmBudget) || !w.probeSent.IsZero() && now.Sub(w.probeSent) < probeLost {
 		return false
 	}
 	w.probeSent, w.startedBefore = now, w.started
