node, fleet, forward, view, platform: roll out versions under the leader's rights

Cause: servers of a new version got requests like all others as soon as they registered, so a bad version was exposed whole.

Change: the platform decodes versions and orders and writes statuses. The leader keeps the records of roll-outs in the store, decides with package rollout and gives rights with each Follow response. VMs set the target of an order aside, send to it with a right only and report outcomes by route. Keys move to the target by its share and home again. A version that was not known before is used a second later, since its servers may register before the order. All of it acts only if the bounds have canaryShare, canarySlack and rollbackS. The first steps have a larger share where a service has few requests; otherwise a keyed service with 140 requests/s got 15 to its target in 19 s.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -28,8 +28,10 @@
 	Service    topo.ServiceName
 	Addr       string
 	DataCentre topo.DataCentreName
-	Slots      int
-	State      State
+	// Version is the version of the server's program; empty if its entry has none.
+	Version string
+	Slots   int
+	State   State
 	// StartedAtMs is the Unix time of the server's start, in milliseconds. It
 	// distinguishes the incarnations of a server.
 	StartedAtMs int64
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -42,6 +42,9 @@
 	// OnContact, unless nil, is called after each response of a leader was applied. It
 	// must be set before the follower is used.
 	OnContact func()
+	// Rollouts, unless nil, gets the roll-outs. It must be set before the follower is
+	// used.
+	Rollouts RolloutFollower
 	// recordLeaseVersion records the version of the lease of a leader in its term.
 	recordLeaseVersion func(holder view.Member, term topo.Term, version uint64)
 
@@ -64,6 +67,10 @@
 	membersVersion   uint64
 	homelessSince    time.Time
 	relay            relayState
+	// rolloutsVersion is the version of the roll-outs in the last response of a leader,
+	// and rolloutsTerm the latest term of one that knew them.
+	rolloutsVersion uint64
+	rolloutsTerm    topo.Term
 	// started is when the process started.
 	started time.Time
 }
@@ -171,6 +178,10 @@
 	if current.Term != f.term {
 		req.TableVersion = 0
 	}
+	if f.Rollouts != nil {
+		req.RolloutsVersion = f.rolloutsVersion
+		req.Reverted = encodeReverted(f.Rollouts.Reverted())
+	}
 	if len(f.view.Snapshot().Members) == 0 {
 		req.MemberlessMs = max(1, clock.Boot().Sub(f.started).Milliseconds())
 	}
@@ -179,6 +190,7 @@
 
 func (f *Follower) apply(leader view.Member, resp *fleetpb.FollowResponse, requestSent time.Time) error {
 	confirmed := requestSent.Add(-millis(resp.GetAgeMs()))
+	f.applyRollouts(resp, requestSent)
 	if err := f.applyStoreState(resp); err != nil {
 		return err
 	}
@@ -248,6 +260,7 @@
 			DataCentre: topo.DataCentreName(s.GetDataCentre()), Slots: int(s.GetSlots()),
 			State: directory.State(s.GetState()), StartedAtMs: s.GetBorn(),
 			ColdFor: millis(s.GetColdMs()), SeenAt: now, Seq: s.GetSeq(), Rev: s.GetRev(),
+			Version: s.GetVersion(),
 		})
 	}
 	if resp.GetComplete() {
--- a/fleet/hub.go
+++ b/fleet/hub.go
@@ -58,6 +58,8 @@
 	// OnLeaving, unless nil, is called when a VM reports a server that leaves and
 	// that was not known to leave. It must be set before the hub is used.
 	OnLeaving func(topo.Incarnation)
+	// Rollouts, unless nil, holds the roll-outs. It must be set before the hub is used.
+	Rollouts Rollouts
 
 	mu             sync.Mutex
 	members        map[topo.VMID]*member
@@ -106,6 +108,9 @@
 // follow waits until the follower's state is outdated or the wait ends, and
 // returns what the follower lacks.
 func (h *Hub) follow(ctx context.Context, req *fleetpb.FollowRequest) (*fleetpb.FollowResponse, error) {
+	if h.Rollouts != nil && len(req.GetReverted()) > 0 {
+		h.Rollouts.Learn(req.GetReverted())
+	}
 	term, leads := h.leads()
 	if !leads {
 		return h.relay(ctx, req)
@@ -131,7 +136,7 @@
 			break
 		}
 		viewChanged := h.view.Changed()
-		if h.lacksConfigOrDirectory(req, term) {
+		if h.lacksConfigOrDirectory(req, term) || h.lacksRollouts(req, term) {
 			break
 		}
 		select {
@@ -219,6 +224,7 @@
 // lasted when the call arrived.
 func (h *Hub) response(req *fleetpb.FollowRequest, term topo.Term, leaseVersion uint64, lease time.Duration) (*fleetpb.FollowResponse, error) {
 	out := &fleetpb.FollowResponse{Leads: true, Term: uint64(term), LeaseVersion: leaseVersion}
+	h.fillRollouts(out, req)
 	if err := h.fillStoreState(out, req, term); err != nil {
 		return nil, err
 	}
@@ -312,7 +318,7 @@
 func encodeServer(s *directory.Server, now time.Time) *fleetpb.Server {
 	m := &fleetpb.Server{
 		Id: string(s.ID), Service: string(s.Service), Addr: s.Addr, DataCentre: string(s.DataCentre),
-		Slots: int32(s.Slots), State: int32(s.State), Born: s.StartedAtMs, Seq: s.Seq, Rev: s.Rev,
+		Slots: int32(s.Slots), State: int32(s.State), Born: s.StartedAtMs, Seq: s.Seq, Rev: s.Rev, Version: s.Version,
 	}
 	if s.Cold(now) {
 		m.ColdMs = s.SeenAt.Add(s.ColdFor).Sub(now).Milliseconds()
@@ -327,6 +333,9 @@
 		return &fleetpb.ReportResponse{}
 	}
 	h.markLeaving(decodeIncarnations(req.GetLeaving()))
+	if h.Rollouts != nil && len(req.GetRollouts()) > 0 {
+		h.Rollouts.Report(topo.VMID(req.GetVm()), term, req.GetRollouts())
+	}
 	for _, l := range req.GetLoads() {
 		for i, k := range l.GetKeys() {
 			if i < len(l.GetCounts()) && k <= uint32(keyrange.MaxKey) {
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -54,6 +54,7 @@
 		}
 	}
 	out := &fleetpb.FollowResponse{Relays: true, Boot: h.Relay.Boot}
+	h.relayRollouts(out)
 	if err := h.fillStoreState(out, known, relayTerm); err != nil {
 		return nil, err
 	}
@@ -103,6 +104,7 @@
 }
 
 func (f *Follower) applyRelay(resp *fleetpb.FollowResponse, sent time.Time) error {
+	f.applyRollouts(resp, sent)
 	if err := f.applyStoreState(resp); err != nil {
 		return err
 	}
--- a/forward/acquire.go
+++ b/forward/acquire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"godwitlock.example/godwitlock/clock"
@@ -27,6 +28,9 @@
 func (f *Forwarder) acquireServer(ctx context.Context, r *request, newOwnerOnly bool) (grantedServer, *refusal) {
 	for {
 		granted, ref := f.tryAcquireServer(ctx, r, newOwnerOnly)
+		if ref != nil {
+			f.returnRight(r)
+		}
 		if ref != errTryAgain {
 			return granted, ref
 		}
@@ -47,6 +51,14 @@
 	}
 	ownedCtx, stop := f.contextWhileOwner(ctx, r, server)
 	defer stop()
+	if f.limited() {
+		if ref := f.awaitRight(ownedCtx, r, snap.Servers[server]); ref != nil {
+			if ownedCtx.Err() != nil && ctx.Err() == nil {
+				ref = errTryAgain
+			}
+			return grantedServer{}, ref
+		}
+	}
 	granted, ref := f.acquireUnpaused(ownedCtx, snap, r, server)
 	if ownedCtx.Err() == nil || ctx.Err() != nil {
 		return granted, ref
@@ -79,6 +91,9 @@
 // acquirePooled waits for a slot of a service without keys. If one part of its pool
 // refuses the request, another one may have room.
 func (f *Forwarder) acquirePooled(ctx context.Context, snap *view.Snapshot, r *request) (grantedServer, *refusal) {
+	if granted, ok := f.acquireCanary(ctx, snap, r); ok {
+		return granted, nil
+	}
 	pools, tried := snap.PoolsOf(r.service.Name), []string(nil)
 	ref := &refusal{errkind.NoOwner, f.failureRetryAfter(r), "service has no usable server"}
 	for range maxPoolsTried {
@@ -136,11 +151,16 @@
 		return grantedServer{}, &refusal{errkind.QueueFull, defaultRetryAfter, "request's deadline is too near for an attempt: " + r.deadlineCause.Error()}
 	}
 	objectiveLeft := r.route.Objective - now.Sub(r.Arrived)
-	slot, d := f.Slots.Acquire(ctx, snap, pool, permit.Request{
-		Customer: r.customerID(), Priority: r.priority(), Avoid: r.triedServers, Excluded: r.paused,
+	request := permit.Request{
+		Customer: r.customerID(), Priority: r.priority(), Avoid: r.triedServers, Excluded: slices.Concat(r.paused, r.noRight),
 		StartBy: boot.Add(time.Duration(float64(left) * slotWaitShare)), PromptBy: boot.Add(objectiveLeft / 2),
 		Lease: left + slotLeaseMargin,
-	})
+	}
+	if pool == view.CanaryPool(r.service.Name) {
+		request.StartBy = boot.Add(min(canaryWait, request.StartBy.Sub(boot)))
+		request.PromptBy = request.StartBy
+	}
+	slot, d := f.Slots.Acquire(ctx, snap, pool, request)
 	if d.Verdict != permit.Granted {
 		reason := "no slot granted in pool " + pool
 		if ctx.Err() != nil {
@@ -166,6 +186,10 @@
 		slot.Finish(permit.Result{})
 		return grantedServer{}, &refusal{errkind.FreshnessLost, defaultRetryAfter, "configuration was not confirmed recently enough"}
 	}
+	if !f.takeRight(r, server) {
+		slot.Finish(permit.Result{})
+		return grantedServer{}, errTryAgain
+	}
 	return grantedServer{Server: server, slot: slot}, nil
 }
 
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -65,6 +65,7 @@
 			return f.refuse(r, kind, ref.retryAfter, ref.reason), kind != ref.kind
 		}
 		res := f.sendOnce(workCtx, r, server)
+		f.observe(workCtx, r, server, res)
 		if res.outcome == Answered {
 			return f.deliver(workCtx, r, server, res, cancel), true
 		}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -22,6 +22,7 @@
 	"godwitlock.example/godwitlock/keyrange"
 	"godwitlock.example/godwitlock/permit"
 	"godwitlock.example/godwitlock/pushback"
+	"godwitlock.example/godwitlock/rollout"
 	"godwitlock.example/godwitlock/routemap"
 	"godwitlock.example/godwitlock/spread"
 	"godwitlock.example/godwitlock/topo"
@@ -81,6 +82,8 @@
 	Budgets *Budgets
 	// Pauses holds the servers that want no requests from this VM for some time.
 	Pauses *pushback.Table
+	// Rollouts says which versions may be used; nil if there are no roll-outs.
+	Rollouts Rollouts
 }
 
 // Forwarder answers callers' requests. It is safe for concurrent use.
@@ -169,8 +172,14 @@
 	triedServers  []topo.ServerID
 	// paused holds the servers of a service without keys that want no requests
 	// from this VM at present.
-	paused  []topo.ServerID
-	hasBody bool
+	paused []topo.ServerID
+	// noRight holds servers whose version must not be used, although a slot of theirs
+	// was granted. skipCanary says that no server of a roll-out's target had room, and
+	// ticket is the right that was taken for the next attempt.
+	noRight    []topo.ServerID
+	skipCanary bool
+	ticket     rollout.Ticket
+	hasBody    bool
 	// rateTokenTaken says that a token was taken from the customer's rate limit.
 	// The token is returned when the request did not run.
 	rateTokenTaken bool
@@ -198,6 +207,9 @@
 	destination := f.splitter.Next(r.route)
 	r.service = snap.Routes.Service(destination.Service)
 	f.Budgets.CountRequest(destination.Service)
+	if f.limited() {
+		f.Rollouts.Arrived(destination.Service)
+	}
 	if r.service.Keyed {
 		f.Stats.Arrived(destination.Service, r.Key)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -94,6 +94,7 @@
 	storeCalls   storeCallCounter
 	storeEra     storeEra
 	notices      *notices
+	rollouts     *rollouts
 	// lastCandidate is the index of the candidate that answered last; only
 	// runCandidates uses it.
 	lastCandidate int
@@ -152,6 +153,8 @@
 	n.assigner = newAssigner(n, n.loads)
 	n.hub = fleet.NewHub(n.view, self, n.lease.Leads, n.lease.Version, n.oldestStoreResponse, n.loads)
 	n.hub.Relay, n.lease.onLost = n.relay(boot), n.hub.LeadershipLost
+	n.rollouts = newRollouts(n, boot)
+	n.hub.Rollouts, n.follower.Rollouts = n.rollouts, n.rollouts
 	n.watchers = n.newWatchers()
 	n.reports = newReports(n.settings.VM, n.metrics)
 	n.rates = fleet.NewRates(n.settings.VM, n.view, n.peers, n.log)
@@ -171,7 +174,7 @@
 		View: n.view, DataCentre: n.settings.DataCentre, Egress: n.egress, RateLimiter: n.rates, Stats: n.reports, Log: n.log, Fresh: n.configFresh,
 		Slots:   fleet.NewSlots(n.settings.VM, n.settings.DataCentre, n.peers, n.broker, n.fallback),
 		Budgets: forward.NewBudgets(n.bounds().RetryShare*retryShareFraction, n.retrySlack),
-		Pauses:  &n.pauses,
+		Pauses:  &n.pauses, Rollouts: n.rollouts,
 	})
 	n.ingress = ingress.NewServer(n.platform.CallerHeaders(), n.forward.Serve, n.callerLimits)
 	n.ingress.OnAnswerDropped, n.ingress.OnUnread = n.recordDroppedAnswer, n.recordUnread
@@ -331,6 +334,7 @@
 		{"rates", n.runRates},
 		{"attestations", n.rates.RunAttestations},
 		{"assigner", n.assigner.Run},
+		{"rollouts", n.rollouts.Run},
 		{"home", n.broker.Run},
 		{"fallback", n.fallback.Run},
 		{"sweep", n.runSweep},
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -18,6 +18,7 @@
 	"godwitlock.example/godwitlock/leader"
 	"godwitlock.example/godwitlock/metric"
 	"godwitlock.example/godwitlock/ownership"
+	"godwitlock.example/godwitlock/rollout"
 	"godwitlock.example/godwitlock/routemap"
 	"godwitlock.example/godwitlock/store"
 	"godwitlock.example/godwitlock/store/memstore"
@@ -151,6 +152,10 @@
 func (memPlatform) DecodeServer(store.Object, time.Time) (directory.Server, error) {
 	return directory.Server{}, nil
 }
+func (memPlatform) DecodeRollout(store.Object) (rollout.Order, error) { return rollout.Order{}, nil }
+func (memPlatform) WriteRolloutStatus(context.Context, string, rollout.Status) error {
+	return nil
+}
 func (memPlatform) SendOrder(context.Context, string, ownership.Order, func() time.Time) (ownership.Outcome, string, error) {
 	return ownership.Done, "", nil
 }
--- a/node/placement.go
+++ b/node/placement.go
@@ -113,6 +113,7 @@
 		}
 		a.loads.withLoad(svc.Name, func(l *placement.Load) {
 			l.Decay(now)
+			a.moveVersions(now, m, snap, svc, l)
 			for _, mv := range placement.Plan(l, servers, placementRanges(now, m)) {
 				a.node.log.Event("keys_moving").Str("service", string(svc.Name)).Uint16("first", mv.First).
 					Uint16("last", mv.Last).Str("to", string(mv.Target)).Float64("load", l.RangeLoad(mv.First, mv.Last)).Send()
--- a/node/reports.go
+++ b/node/reports.go
@@ -108,7 +108,9 @@
 
 func (n *Node) report(ctx context.Context, interval time.Duration) {
 	if _, leads := n.lease.Leads(); leads {
-		n.hub.ReportLocal(n.reports.take(interval))
+		req := n.reports.take(interval)
+		req.Rollouts = n.rollouts.uses()
+		n.hub.ReportLocal(req)
 		return
 	}
 	leader := n.lease.Leader()
@@ -116,7 +118,8 @@
 		return
 	}
 	req := n.reports.take(interval)
-	if len(req.GetLoads()) == 0 && len(req.GetWork()) == 0 {
+	req.Rollouts = n.rollouts.uses()
+	if len(req.GetLoads()) == 0 && len(req.GetWork()) == 0 && len(req.GetRollouts()) == 0 {
 		return
 	}
 	if _, err := n.follower.Report(ctx, leader.Addr, req); err != nil {
--- a/node/settings.go
+++ b/node/settings.go
@@ -8,6 +8,7 @@
 	"godwitlock.example/godwitlock/egress"
 	"godwitlock.example/godwitlock/ingress"
 	"godwitlock.example/godwitlock/ownership"
+	"godwitlock.example/godwitlock/rollout"
 	"godwitlock.example/godwitlock/routemap"
 	"godwitlock.example/godwitlock/store"
 	"godwitlock.example/godwitlock/topo"
@@ -65,6 +66,8 @@
 	// ColdOverrun and ColdSlack define how far a cold server may be loaded
 	// beyond its rate.
 	ColdOverrun, ColdSlack float64
+	// Rollout limits the exposure of a bad version. Without it, there are no roll-outs.
+	Rollout rollout.Bounds
 }
 
 // DefaultBounds returns the bounds that apply where the settings specify none.
@@ -98,6 +101,11 @@
 	InternalKey(kind, name string) string
 	DecodeConfig(spec []byte) (routemap.Config, error)
 	DecodeServer(o store.Object, now time.Time) (directory.Server, error)
+	// DecodeRollout decodes an order to roll out a version, without checking it.
+	DecodeRollout(o store.Object) (rollout.Order, error)
+	// WriteRolloutStatus sets the status of the order that is stored under key. It
+	// fails if there is none.
+	WriteRolloutStatus(ctx context.Context, key string, s rollout.Status) error
 	// Name returns the name of the object that is stored under key.
 	Name(key string) string
 	// SendOrder delivers an order to the server at addr. The returned string is
@@ -116,4 +124,4 @@
 }
 
 // Prefixes are the key prefixes of the objects that a node watches.
-type Prefixes struct{ Config, Servers, Evacuations string }
+type Prefixes struct{ Config, Servers, Evacuations, Rollouts string }
--- a/node/watch.go
+++ b/node/watch.go
@@ -175,8 +175,8 @@
 	}
 }
 
-// newWatchers returns the watchers for the configuration, the servers and the
-// evacuated data centres.
+// newWatchers returns the watchers for the configuration, the servers, the evacuated data
+// centres and, if the bounds limit them, the roll-outs.
 func (n *Node) newWatchers() []*watcher {
 	objects, prefixes := n.platform.Objects(), n.platform.Prefixes()
 	config := &watcher{
@@ -212,6 +212,9 @@
 	}
 	evacuations := n.evacuationWatcher(prefixes.Evacuations)
 	list := []*watcher{config, servers, evacuations}
+	if n.rollouts != nil && n.rollouts.enabled() {
+		list = append(list, n.rolloutWatcher(prefixes.Rollouts))
+	}
 	for _, w := range list {
 		w.objects, w.needed, w.log, w.wait = objects, n.needsStore, n.log, watchTimeout
 		w.pauseDuration = n.watchPause
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -82,7 +82,12 @@
 	case c.rec.State == Complete:
 		return 1
 	}
-	return c.bounds.StepShare(c.Step())
+	return c.bounds.StepShare(c.Step(), c.rate())
+}
+
+// rate returns the requests of the service per second since the order.
+func (c *Controller) rate() float64 {
+	return float64(c.rec.Arrivals) / max(1, (time.Duration(c.rec.ElapsedMs)*time.Millisecond).Seconds())
 }
 
 // Report records the report of a process.
@@ -150,8 +155,7 @@
 	if c.rec.Step >= canarySteps {
 		return
 	}
-	rate := float64(c.rec.Arrivals) / max(1, time.Duration(c.rec.ElapsedMs*int64(time.Millisecond)).Seconds())
-	chunk := max(minReserve, int64(math.Ceil(rate*c.bounds.StepShare(c.rec.Step)*reserveTime.Seconds())))
+	chunk := max(minReserve, int64(math.Ceil(c.rate()*c.bounds.StepShare(c.rec.Step, c.rate())*reserveTime.Seconds())))
 	need := min(c.base+c.ledger.Issued()+chunk, c.bounds.Budget(c.rec.Arrivals)-c.rec.Lost)
 	if need > c.rec.Reserved+chunk/2 {
 		c.rec.Reserved = need
@@ -215,6 +219,8 @@
 		Service: c.rec.Service, Target: c.rec.Target, Number: c.rec.Number, State: c.rec.State, Mode: Hold, Share: c.Share(), Barred: c.rec.Barred(),
 	}
 	switch {
+	case c.rec.State == Reverted && c.rec.Reason == reasonNoServer:
+		return Right{}, false
 	case c.rec.State == Reverted:
 	case c.rec.State == Complete && c.Published():
 		if r.Mode = Ended; now.Sub(c.endedAt) >= endedTime && len(r.Barred) == 0 {
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -60,8 +60,28 @@
 	}
 }
 
-// StepShare returns the share of the requests that the target gets in a step.
-func (b Bounds) StepShare(n int) float64 { return b.steps()[min(max(n, 0), len(b.steps())-1)].share }
+// StepShare returns the share of the requests that the target gets in a step, if the
+// service gets the given number of requests per second. With few requests, the first
+// steps have a larger share, so that they last for stepTime; Slack covers that.
+func (b Bounds) StepShare(n int, rate float64) float64 {
+	steps := b.steps()
+	st := steps[min(max(n, 0), len(steps)-1)]
+	if n >= canarySteps-1 || rate <= 0 {
+		return st.share
+	}
+	most := steps[canarySteps-1].share
+	share := float64(st.answers) / (rate * stepTime.Seconds())
+	// Each change of the share changes which servers get requests.
+	share = math.Ceil(shareGrain*share/most) / shareGrain * most
+	return min(max(share, st.share), most)
+}
+
+const (
+	// stepTime is the time in which a step should get its responses.
+	stepTime = 2 * time.Second
+	// shareGrain is the number of values that the share of a step may have.
+	shareGrain = 5
+)
 
 // Whole reports whether a step gives the target all requests.
 func (b Bounds) Whole(n int) bool { return n >= len(b.steps())-1 }
@@ -119,6 +139,9 @@
 	Reason string
 }
 
+// reasonNoServer says that the target was not exposed, since no server has it.
+const reasonNoServer = "no usable server has the target version"
+
 // Decide returns the next state and step of a roll-out in the given step.
 func Decide(b Bounds, n int, s Situation) Decision {
 	steps := b.steps()
@@ -129,7 +152,7 @@
 	case s.Finding.Bad:
 		return Decision{Reverted, n, "bad: " + string(s.Finding.Cause)}
 	case s.Targets == 0 && s.Elapsed >= s.Duration/2:
-		return Decision{Reverted, n, "no usable server has the target version"}
+		return Decision{Reverted, n, reasonNoServer}
 	case s.Targets > 0 && s.Others == 0 && s.StoreAnswers && s.Finding.TargetAnswers+s.Finding.OtherAnswers == 0:
 		return Decision{Complete, n, "all servers have the target version"}
 	case s.Elapsed >= end && !s.Finding.Enough:
--- a/rollout/record.go
+++ b/rollout/record.go
@@ -61,6 +61,9 @@
 	Reason string `json:"reason,omitempty"`
 }
 
+// barred reports whether the target must not be used any more.
+func (j Judgement) barred() bool { return j.State == Reverted && j.Reason != reasonNoServer }
+
 // Record is what is stored of the latest roll-out of a service.
 type Record struct {
 	Service topo.ServiceName `json:"service"`
@@ -103,7 +106,7 @@
 		r.Judged = mergeJudged(last.Judged, []Judgement{{last.Target, last.State, last.Reason}})
 	}
 	for _, j := range r.Judged {
-		if j.Target == o.Target && j.State == Reverted {
+		if j.Target == o.Target && j.barred() {
 			// A bad version must not be exposed twice.
 			r.State, r.Reason = Reverted, "an earlier roll-out of this version was reverted: "+j.Reason
 		}
@@ -115,7 +118,7 @@
 func (r *Record) Barred() []string {
 	var out []string
 	for _, j := range r.Judged {
-		if j.State == Reverted && j.Target != r.Target {
+		if j.barred() && j.Target != r.Target {
 			out = append(out, j.Target)
 		}
 	}
--- a/routemap/routemap.go
+++ b/routemap/routemap.go
@@ -4,6 +4,7 @@
 
 import (
 	"crypto/sha256"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -211,6 +212,19 @@
 // Service returns a service by its name, or nil.
 func (m *Map) Service(name topo.ServiceName) *Service { return m.services[name] }
 
+// LongestTimeout returns the longest timeout of the routes that lead to a service.
+func (m *Map) LongestTimeout(name topo.ServiceName) time.Duration {
+	longest := time.Duration(0)
+	for _, list := range m.hosts {
+		for _, r := range list {
+			if slices.ContainsFunc(r.Destinations, func(d Destination) bool { return d.Service == name }) {
+				longest = max(longest, r.Timeout)
+			}
+		}
+	}
+	return longest
+}
+
 // Services calls f for each service, in no particular order.
 func (m *Map) Services(f func(*Service)) {
 	for _, s := range m.services {
--- a/view/pools.go
+++ b/view/pools.go
@@ -69,6 +69,9 @@
 		}
 		return nil
 	}
+	if name, ok := strings.CutPrefix(pool, canaryPoolPrefix); ok {
+		return s.canaries[topo.ServiceName(name)]
+	}
 	p, ok := parsePart(pool)
 	if !ok {
 		return s.ServersOf(topo.ServiceName(strings.TrimPrefix(pool, servicePoolPrefix)))
@@ -82,7 +85,8 @@
 	return out
 }
 
-// ServersOf returns the usable servers of a service, in the order of their ids.
+// ServersOf returns the usable servers of a service, in the order of their ids, without
+// those whose version is set aside by a roll-out.
 // Callers must not change the list.
 func (s *Snapshot) ServersOf(name topo.ServiceName) []*directory.Server { return s.usable[name] }
 
--- a/view/view.go
+++ b/view/view.go
@@ -48,9 +48,12 @@
 	// ServersVersion changes whenever Routes, Servers or Unusable do.
 	ServersVersion uint64
 	usable         map[topo.ServiceName][]*directory.Server
-	pools          map[topo.ServiceName][]Pool
-	Tables         map[topo.ServiceName]*keyrange.Table
-	Members        []Member
+	// canaries holds the servers of the target of a roll-out that get requests with a
+	// right.
+	canaries map[topo.ServiceName][]*directory.Server
+	pools    map[topo.ServiceName][]Pool
+	Tables   map[topo.ServiceName]*keyrange.Table
+	Members  []Member
 	// MembersVersion identifies the list of Members.
 	MembersVersion topo.ListVersion
 	homes          *homeCache
@@ -90,6 +93,7 @@
 	publishedDirVersion uint64
 	dirty               bool
 	routesVersion       uint64
+	versions            versions
 	changed             chan struct{}
 	// confirmed is the time of the boot-time clock at which the configuration
 	// was last known to be the newest, in nanoseconds.
@@ -231,22 +235,23 @@
 	v.publishedDirVersion, v.dirty = v.dir.Version(), false
 	s := &Snapshot{
 		Routes: v.routes, Tables: v.tables, Members: v.members, MembersVersion: v.membersVersion, homes: v.homes,
-		ServersVersion: v.dir.Version() + v.routesVersion,
+		ServersVersion: v.dir.Version() + v.routesVersion + v.versions.changes,
 	}
 	// Tables change far more often than servers, so the servers are copied only
 	// when they or the routes changed.
 	if last := v.snapshot.Load(); last.Servers != nil && last.ServersVersion == s.ServersVersion {
-		s.Servers, s.Unusable, s.usable, s.pools = last.Servers, last.Unusable, last.usable, last.pools
+		s.Servers, s.Unusable, s.usable, s.pools, s.canaries = last.Servers, last.Unusable, last.usable, last.pools, last.canaries
 	} else {
-		s.copyServers(v.dir)
+		s.copyServers(v.dir, v.versions.aside(v.dir))
 	}
 	v.snapshot.Store(s)
 	close(v.changed)
 	v.changed = make(chan struct{})
 }
 
-// copyServers copies the servers of a directory into the snapshot.
-func (s *Snapshot) copyServers(dir *directory.Directory) {
+// copyServers copies the servers of a directory into the snapshot. Those whose version
+// is set aside are not among the usable ones of their service.
+func (s *Snapshot) copyServers(dir *directory.Directory, aside asideVersions) {
 	s.Servers, s.Unusable = make(map[topo.ServerID]*directory.Server), make(map[topo.ServerID]bool)
 	s.usable = make(map[topo.ServiceName][]*directory.Server)
 	dir.Servers(func(d *directory.Server) {
@@ -255,8 +260,11 @@
 			s.Unusable[d.ID] = true
 			return
 		}
-		s.usable[d.Service] = append(s.usable[d.Service], d)
+		if !aside.has(d) {
+			s.usable[d.Service] = append(s.usable[d.Service], d)
+		}
 	})
+	s.canaries = aside.canaries(s)
 	for _, list := range s.usable {
 		slices.SortFunc(list, func(a, b *directory.Server) int { return cmp.Compare(a.ID, b.ID) })
 	}
