--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -48,6 +48,7 @@
 	procs  []*process
 	check  *checker
 	events timeline
+	bounds []string
 	// slowWork makes some requests take a server 1 s to 2 s.
 	slowWork atomic.Bool
 
@@ -62,12 +63,14 @@
 	done    sync.WaitGroup
 }
 
-func newCluster(t *testing.T, vms, servers int, check *checker) *cluster {
+// newCluster starts a cluster whose processes have the given bounds besides those of
+// site.Settings.
+func newCluster(t *testing.T, vms, servers int, check *checker, bounds ...string) *cluster {
 	t.Helper()
 	dir, err := os.MkdirTemp("", "soak")
 	require.NoError(t, err)
 	c := &cluster{
-		t: t, dir: dir, store: site.NewStore(), check: check, stop: make(chan struct{}),
+		t: t, dir: dir, store: site.NewStore(), check: check, bounds: bounds, stop: make(chan struct{}),
 		keys: map[string][]string{"cust-a": {"key-a1", "key-a2"}, "cust-b": {"key-b"}},
 	}
 	for name, list := range c.keys {
@@ -226,14 +229,16 @@
 
 // leader returns the process that holds the lease of the leader, or nil.
 func (c *cluster) leader() *process {
-	var lease struct{ Holder leader.Identity }
+	var lease struct {
+		Value struct{ Holder leader.Identity }
+	}
 	key := platform.New("").InternalKey("leader", "lease")
 	kind, name, _ := strings.Cut(key, "/")
 	if json.Unmarshal(c.store.Get(kind, name), &lease) != nil {
 		return nil
 	}
 	for _, p := range c.procs {
-		if p.name == string(lease.Holder.VM) {
+		if p.name == string(lease.Value.Holder.VM) {
 			return p
 		}
 	}
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -89,7 +89,7 @@
 	p.frontAddr = addrs[0]
 	// The settings take a port range, but the two ports need not be adjacent.
 	text := site.Settings(p.name, fmt.Sprintf("z%d", i%2), site.Addresses{
-		Front: addrs[0], Ready: addrs[1], InternalPorts: [2]string{port(addrs[2]), port(addrs[3])}, Store: p.store.addr(),
+		Front: addrs[0], Ready: addrs[1], InternalPorts: [2]string{port(addrs[2]), port(addrs[3])}, Store: p.store.addr(), Bounds: c.bounds,
 	})
 	require.NoError(c.t, os.WriteFile(p.settings(), []byte(text), 0o600))
 	require.NoError(c.t, p.start())
--- a/standin/platform/site/server.go
+++ b/standin/platform/site/server.go
@@ -33,7 +33,9 @@
 // servers. It is safe for concurrent use.
 type Server struct {
 	ID, Service, DataCentre string
-	StartedAtMs             int64
+	// Version is the version of the server's program, "v1" if it is empty.
+	Version     string
+	StartedAtMs int64
 	// ServiceTime is how long a request takes.
 	ServiceTime time.Duration
 	// Keyed makes the server run only requests for keys that it holds.
@@ -43,6 +45,9 @@
 	// before the response was ready.
 	OnRun    func(Run)
 	OnRunEnd func(r Run, finished bool)
+	// Fault, if set, returns whether a run ends with status 500, and how much longer
+	// it takes.
+	Fault func(Run) (fails bool, extra time.Duration)
 	// OnRefused, if set, is called for each request that Refuse made the server
 	// refuse.
 	OnRefused func(request string)
@@ -106,8 +111,12 @@
 		state = "draining"
 	}
 	s.mu.Unlock()
+	version := s.Version
+	if version == "" {
+		version = "v1"
+	}
 	return map[string]any{
-		"service": s.Service, "addr": s.Addr(), "zone": s.DataCentre, "version": "v1", "slots": Slots,
+		"service": s.Service, "addr": s.Addr(), "zone": s.DataCentre, "version": version, "slots": Slots,
 		"state": state, "warmupLeftS": 0, "seq": 1, "born": s.StartedAtMs,
 	}
 }
@@ -285,24 +294,32 @@
 	if s.OnRun != nil {
 		s.OnRun(run)
 	}
-	finished := s.work(r)
+	fails, extra := false, time.Duration(0)
+	if s.Fault != nil {
+		fails, extra = s.Fault(run)
+	}
+	finished := s.work(r, extra)
 	if s.OnRunEnd != nil {
 		s.OnRunEnd(run, finished)
 	}
 	if !finished || s.DropResponse != nil && s.DropResponse() {
 		panic(http.ErrAbortHandler)
 	}
+	if fails {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	w.Header().Set("Response-Seal", s.ID+"."+id)
 	w.Header().Set("Backend-Load", fmt.Sprintf("%d,0,%d", len(s.slots), Slots))
 	lines, _ := strconv.Atoi(r.Header.Get(HeaderBodyLines))
 	_, _ = io.WriteString(w, Body(s.ID, id, lines))
 }
 
-// work takes as long as the request asks for. It returns false as soon as the
+// work takes as long as the request asks for, and the extra time. It returns false as soon as the
 // connection of the request is closed.
-func (s *Server) work(r *http.Request) bool {
-	extra, _ := strconv.Atoi(r.Header.Get(HeaderWorkMS))
-	timer := time.NewTimer(s.ServiceTime + time.Duration(extra)*time.Millisecond)
+func (s *Server) work(r *http.Request, extra time.Duration) bool {
+	ms, _ := strconv.Atoi(r.Header.Get(HeaderWorkMS))
+	timer := time.NewTimer(s.ServiceTime + extra + time.Duration(ms)*time.Millisecond)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/standin/platform/site/site.go
+++ b/standin/platform/site/site.go
@@ -9,6 +9,8 @@
 	Front, Ready  string
 	InternalPorts [2]string
 	Store         string
+	// Bounds are further bounds, each as "name=value".
+	Bounds []string
 }
 
 // GraceS is the time in seconds between SIGTERM and SIGKILL, and RouteTimeoutS is
@@ -20,11 +22,15 @@
 
 // Settings returns the content of the settings file of a VM.
 func Settings(name, dataCentre string, p Addresses) string {
+	bounds := ""
+	for _, b := range p.Bounds {
+		bounds += fmt.Sprintf(",%q", b)
+	}
 	return fmt.Sprintf(`node = %q
 ip = "127.0.0.1"
 zone = %q
 internalPorts = [%s, %s]
-bounds = ["revokeS=5","graceS=%d","drainS=2","maxHoldS=10","retryRatio=0.2","retrySlack=20","quotaWindowS=5"]
+bounds = ["revokeS=5","graceS=%d","drainS=2","maxHoldS=10","retryRatio=0.2","retrySlack=20","quotaWindowS=5"%s]
 [listen]
 front = %q
 ready = %q
@@ -32,7 +38,7 @@
 cpuShare = 0.5
 [platform]
 addr = %q
-`, name, dataCentre, p.InternalPorts[0], p.InternalPorts[1], GraceS, p.Front, p.Ready, p.Store)
+`, name, dataCentre, p.InternalPorts[0], p.InternalPorts[1], GraceS, bounds, p.Front, p.Ready, p.Store)
 }
 
 // PutConfig writes a configuration with one keyed service, "ledger", a route
