--- a/node/node.go
+++ b/node/node.go
@@ -189,6 +189,8 @@
 	n.metrics.Gauge("config_age_seconds", func() float64 { return clock.Boot().Sub(n.view.Confirmed()).Seconds() })
 	n.metrics.Gauge("store_era", func() float64 { return float64(n.storeEra.current()) })
 	n.registerConnGauges()
+	n.metrics.Gauge("rollouts_limited", func() float64 { return float64(len(n.rollouts.holder.Limits(clock.Boot()))) })
+	n.metrics.Gauge("rollouts_running", func() float64 { return float64(n.rollouts.running()) })
 	n.metrics.Gauge("customers_home", func() float64 { home, _ := n.rates.Customers(); return float64(home) })
 	n.metrics.Gauge("customers_pending", func() float64 { _, pending := n.rates.Customers(); return float64(pending) })
 	n.metrics.Gauge("home_waiting", func() float64 { w, _ := n.broker.Depth(); return float64(w) })
--- a/node/rolloutkeys.go
+++ b/node/rolloutkeys.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"godwitlock.example/godwitlock/ownership"
@@ -38,6 +39,8 @@
 	targets := snap.Canaries(svc.Name)
 	running, isRunning := a.node.rollouts.holder.Target(svc.Name)
 	switch {
+	case limit.Target == "":
+		v.vacate(func(version string) bool { return !slices.Contains(limit.Barred, version) }, 0)
 	case limit.Whole:
 		v.vacate(func(version string) bool { return version == limit.Target }, 0)
 	case len(targets) == 0 || !isRunning || running != limit.Target:
--- a/node/rolloutlead.go
+++ b/node/rolloutlead.go
@@ -28,6 +28,9 @@
 	// unknownServiceGrace is how long after an order the configuration with its service
 	// may arrive.
 	unknownServiceGrace = 2 * time.Second
+	// unheardTime is how long an order may have lain in the store before a new leader
+	// reads it; see docs/platform.md.
+	unheardTime = 4 * time.Second
 	// maxRolloutStoreAge is how old the last answer of the store may be while the share
 	// of a version grows.
 	maxRolloutStoreAge = 1500 * time.Millisecond
@@ -40,10 +43,15 @@
 	// err says why the order cannot be followed.
 	err  error
 	seen time.Time
+	// age is how old the order may have been then.
+	age time.Duration
 	// statusAt is when the status was written last, and writing says that a write is
 	// under way.
 	statusAt time.Time
 	writing  bool
+	// ignored says that the order came while another one of its service was under way,
+	// and was not written again since.
+	ignored bool
 	// logged is the problem with the order that was logged last.
 	logged string
 }
@@ -90,12 +98,21 @@
 
 func (r *rollouts) applyListing(l store.Listing, now time.Time) {
 	listed := make(map[string]bool, len(l.Objects))
+	r.mu.Lock()
+	known := r.listed
+	r.mu.Unlock()
 	for _, o := range l.Objects {
 		listed[r.node.platform.Name(o.Key)] = true
 		r.applyOrder(o, now)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !known {
+		// The orders may have been given while there was no leader.
+		for _, o := range r.orders {
+			o.age = unheardTime
+		}
+	}
 	for name := range r.orders {
 		if !listed[name] {
 			r.withdrawn(name)
@@ -139,10 +156,15 @@
 		entry = &rolloutOrder{name: name, seen: now}
 		r.orders[name] = entry
 	}
+	if led := r.led[order.Service]; entry.ignored && order.Status == (rollout.Status{}) && (led == nil || led.Record().Over()) {
+		entry.ignored, entry.seen = false, now
+	}
 	entry.order, entry.err = order, err
+	r.changes++
 	r.mu.Unlock()
 	if err == nil && r.enabled() {
 		r.seen(order)
+		r.node.hub.NotifyFollowers()
 	}
 }
 
@@ -238,7 +260,7 @@
 		if o.err == nil && now.Sub(o.seen) >= unknownServiceGrace && routes.Service(o.order.Service) == nil {
 			o.err = errors.Errorf("the configuration has no service %.64q", o.order.Service)
 		}
-		if o.err != nil || o.order.Over() && r.led[o.order.Service] == nil && o.order.Status.State == rollout.Complete || routes.Service(o.order.Service) == nil {
+		if o.err != nil || o.ignored || o.order.Over() && r.led[o.order.Service] == nil && o.order.Status.State == rollout.Complete || routes.Service(o.order.Service) == nil {
 			continue
 		}
 		var last *rollout.Record
@@ -250,7 +272,7 @@
 			version = led.version
 		}
 		era := store.EraOf(r.node.platform.Objects())
-		rec := rollout.Begin(o.order, last, time.Now().UnixMilli(), era)
+		rec := rollout.Begin(o.order, last, time.Now().Add(-min(o.age, o.order.Duration/4)).UnixMilli(), era)
 		if o.order.Over() {
 			// The record was lost, but not the judgement.
 			rec.State, rec.Reason = o.order.Status.State, o.order.Status.Reason
@@ -411,7 +433,8 @@
 // none yet. The caller holds r.mu.
 func (r *rollouts) statusOf(o *rolloutOrder) (rollout.Status, bool) {
 	led := r.led[o.order.Service]
-	if o.err != nil && (led == nil || string(o.order.Service) != o.name) {
+	refused := o.err != nil
+	if refused && (led == nil || string(o.order.Service) != o.name || led.Record().Over() && !o.ignored && led.Record().Target != o.order.Target) {
 		return rollout.Status{State: rollout.Reverted, Target: o.order.Target, Reason: "refused: " + o.err.Error()}, true
 	}
 	if led == nil {
@@ -419,15 +442,13 @@
 	}
 	rec := led.Record()
 	s := rollout.Status{State: rec.State, Target: rec.Target, Reason: rec.Reason}
-	if o.order.Target == rec.Target && o.err == nil {
-		return s, led.Published()
-	}
-	if rec.State != rollout.Running {
-		if o.err != nil {
-			return rollout.Status{State: rollout.Reverted, Target: o.order.Target, Reason: "refused: " + o.err.Error()}, true
-		}
+	switch {
+	case rec.Over() && !o.ignored && o.order.Target != rec.Target:
 		return rollout.Status{}, false // It begins next.
+	case rec.Over(), o.order.Target == rec.Target && !refused:
+		return s, led.Published()
 	}
+	o.ignored = o.order.Target != rec.Target
 	s.Reason = "the order was changed during its roll-out, which goes on as it was ordered"
 	if o.logged != s.Reason {
 		o.logged = s.Reason
@@ -436,6 +457,18 @@
 	return s, led.Published()
 }
 
+// running returns the number of roll-outs that run under this VM as the leader.
+func (r *rollouts) running() (n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, led := range r.led {
+		if led.Record().State == rollout.Running {
+			n++
+		}
+	}
+	return n
+}
+
 // Report implements fleet.Rollouts.
 func (r *rollouts) Report(vm topo.VMID, term topo.Term, uses []*fleetpb.RolloutUse) {
 	r.mu.Lock()
--- a/node/rollouts.go
+++ b/node/rollouts.go
@@ -108,7 +108,7 @@
 func (r *rollouts) Held() map[topo.ServiceName]rollout.Limit {
 	limits := r.holder.Limits(clock.Boot())
 	for service, l := range limits {
-		if l.Whole {
+		if l.Whole || l.Target == "" {
 			delete(limits, service)
 		}
 	}
--- a/node/rollouts_test.go
+++ b/node/rollouts_test.go
@@ -150,8 +150,8 @@
 	return out
 }
 
-// Guards against an order that is changed or withdrawn midway and thereby ends, changes
-// or repeats the roll-out that runs.
+// Guards against an order that is changed midway and thereby ends, changes or repeats the
+// roll-out that runs.
 func TestOrderChangedMidway(t *testing.T) {
 	n := newRolloutNode(t, memstore.New())
 	n.order("s", goodOrder())
@@ -170,6 +170,24 @@
 		require.Contains(t, s.Reason, "changed")
 		require.Equal(t, map[string]int{"v1": 1}, n.versions())
 	}
+	// The order that came midway is not followed at the end, unless it is written again.
+	changed := goodOrder()
+	changed.Target = "v1"
+	n.order("s", changed)
+	require.Equal(t, rollout.Running, n.status("s").State)
+	n.rollouts.led["s"].Revert(bootNow(), "bad")
+	require.Equal(t, rollout.Status{State: rollout.Reverted, Target: "v2", Reason: "bad"}, n.status("s"))
+	require.Len(t, logLines(t, n.log, n.out, "rollout_ordered"), 1)
+	n.order("s", changed)
+	require.Equal(t, rollout.Status{State: rollout.Running, Target: "v1"}, n.status("s"))
+	require.Len(t, logLines(t, n.log, n.out, "rollout_ordered"), 2)
+}
+
+// Guards against an order that is withdrawn midway and thereby ends the roll-out.
+func TestOrderWithdrawnMidway(t *testing.T) {
+	n := newRolloutNode(t, memstore.New())
+	n.order("s", goodOrder())
+	require.Equal(t, rollout.Running, n.status("s").State)
 	n.rollouts.applyEvent(store.Event{Object: store.Object{Key: "rollouts/s"}, Deleted: true}, bootNow())
 	n.rollouts.lead(t.Context())
 	require.Equal(t, map[string]int{"v1": 1}, n.versions())
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -34,8 +34,11 @@
 	base        int64
 	stepBegan   time.Time
 	stepAnswers int
-	endedAt     time.Time
-	finding     Finding
+	// endedAt is when the roll-out ended in this term, zero if it ended before.
+	endedAt time.Time
+	finding Finding
+	// news says that there is evidence that was not judged yet.
+	news bool
 }
 
 // NewController returns the controller of a roll-out from its record, which the store
@@ -51,7 +54,7 @@
 	if !rec.Over() {
 		c.rec.Step = min(c.rec.Step, canarySteps-1)
 	}
-	if rec.Over() {
+	if rec.State == Reverted {
 		c.endedAt = now
 	}
 	return c
@@ -96,6 +99,7 @@
 		return
 	}
 	c.rec.Arrivals += u.Arrivals
+	c.news = c.news || len(cells) > 0
 	for _, cell := range cells {
 		c.evidence.Add(now, cell)
 		if cell.Server != "" {
@@ -128,7 +132,9 @@
 		return false
 	}
 	c.rec.ElapsedMs = c.rec.Elapsed(nowMs).Milliseconds()
-	c.finding = c.evidence.Judge()
+	if c.news {
+		c.finding, c.news = c.evidence.Judge(), false
+	}
 	finding := c.finding
 	if finding.Enough && finding.Strength < holdStrength {
 		c.rec.Proven = true
@@ -222,10 +228,12 @@
 	case c.rec.State == Reverted && c.rec.Reason == reasonNoServer:
 		return Right{}, false
 	case c.rec.State == Reverted:
+	case c.rec.State == Complete && c.Published() && now.Sub(c.endedAt) < endedTime:
+		r.Mode = Ended
 	case c.rec.State == Complete && c.Published():
-		if r.Mode = Ended; now.Sub(c.endedAt) >= endedTime && len(r.Barred) == 0 {
-			return Right{}, false
-		}
+		// Further versions may come without an order.
+		r.Target = ""
+		return r, len(r.Barred) > 0
 	case c.stored != nil && c.bounds.Whole(c.Step()):
 		// Until the end is stored, the last step stays in force.
 		r.Mode, r.State = Whole, Running
--- a/rollout/holder.go
+++ b/rollout/holder.go
@@ -27,7 +27,8 @@
 // Right is what the leader allows a VM to send to the target of a roll-out.
 type Right struct {
 	Service topo.ServiceName
-	Target  string
+	// Target is empty if only the barred versions are limited.
+	Target string
 	// Number is that of the order, and Term that of the leader.
 	Number uint64
 	Term   topo.Term
@@ -45,6 +46,7 @@
 
 // Limit says how the versions of a service are used at present.
 type Limit struct {
+	// Target is the target of the latest order, empty if it may be used like others.
 	Target string
 	// Whole says that the target gets all requests, else it gets those with a right.
 	Whole bool
@@ -204,7 +206,7 @@
 	switch {
 	case r != nil && slices.Contains(r.Barred, version):
 		return Ticket{}, false
-	case r == nil || r.Target != version || r.whole(now):
+	case r == nil || r.Target == "" || r.Target != version || r.whole(now):
 		return Ticket{}, true
 	case r.State != Running || r.used >= r.Granted || !now.Before(r.Until):
 		return Ticket{}, false
--- a/rollout/holder_test.go
+++ b/rollout/holder_test.go
@@ -96,3 +96,46 @@
 	require.False(t, ok, "barred")
 	require.Equal(t, []string{"v2"}, h.Limits(now)["s"].Barred)
 }
+
+// Guards against servers of a further version, which came without an order, that are left
+// out because of a roll-out that was completed long ago, and against a reverted version
+// that is used again after it.
+func TestCompletedRolloutDoesNotLimitLaterVersions(t *testing.T) {
+	now := time.Unix(1e6, 0)
+	rec := record()
+	rec.State, rec.Judged = Complete, nil
+	p := Process{VM: "a"}
+	_, limits := NewController(playBounds, rec, true, now).Right(now, p)
+	require.False(t, limits, "a new leader")
+	rec.Judged = []Judgement{{Target: "v1", State: Reverted, Reason: "bad"}}
+	r, limits := NewController(playBounds, rec, true, now).Right(now, p)
+	require.True(t, limits)
+	h := NewHolder()
+	h.Apply([]Right{r})
+	for version, allowed := range map[string]bool{"v1": false, "v2": true, "v3": true, "": true} {
+		_, ok := h.Take(now, "s", version)
+		require.Equal(t, allowed, ok, version)
+	}
+	require.Equal(t, Limit{Share: 1, Barred: []string{"v1"}}, h.Limits(now)["s"])
+}
+
+// Guards against old servers that get requests while they stop at the end of a roll-out.
+func TestOtherVersionsAreLeftOutAfterTheEnd(t *testing.T) {
+	now := time.Unix(1e6, 0)
+	rec := record()
+	rec.Step, rec.Reserved = 0, 0
+	c := NewController(playBounds, rec, true, now)
+	c.rec.Proven = true
+	s := Surroundings{StoreAnswers: true, Targets: 3, Others: 3}
+	require.True(t, c.Tick(now, rec.StartedMs+rec.DurationMs, s))
+	r, _ := c.Right(now, Process{})
+	require.Equal(t, Running, r.State, "the end is not stored yet")
+	next, ok := c.Pending(now)
+	require.True(t, ok)
+	require.Equal(t, Complete, next.State)
+	c.Stored()
+	r, _ = c.Right(now, Process{})
+	require.Equal(t, Ended, r.Mode)
+	_, limits := c.Right(now.Add(endedTime), Process{})
+	require.False(t, limits)
+}
--- a/view/versions.go
+++ b/view/versions.go
@@ -73,7 +73,7 @@
 		return true
 	}
 	l, limited := a.limits[s.Service]
-	return limited && (slices.Contains(l.Barred, s.Version) || (s.Version == l.Target) != l.Whole)
+	return limited && (slices.Contains(l.Barred, s.Version) || l.Target != "" && (s.Version == l.Target) != l.Whole)
 }
 
 // Canaries returns the servers of a service that get requests with a right to use the
@@ -90,7 +90,7 @@
 func (a asideVersions) canaries(snap *Snapshot) map[topo.ServiceName][]*directory.Server {
 	var out map[topo.ServiceName][]*directory.Server
 	for service, l := range a.limits {
-		if l.Whole || l.Share <= 0 || a.held[service][l.Target] {
+		if l.Whole || l.Share <= 0 || l.Target == "" || a.held[service][l.Target] {
 			continue
 		}
 		var list []*directory.Server
