--- a/forward/acquire.go
+++ b/forward/acquire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"godwitlock.example/godwitlock/clock"
@@ -28,6 +29,9 @@
 func (f *Forwarder) acquireServer(ctx context.Context, r *request, newOwnerOnly bool) (grantedServer, *refusal) {
 	for {
 		granted, ref := f.tryAcquireServer(ctx, r, newOwnerOnly)
+		if ref != nil {
+			f.returnRight(r)
+		}
 		if ref != errTryAgain {
 			return granted, ref
 		}
@@ -48,6 +52,14 @@
 	}
 	ownedCtx, stop := f.contextWhileOwner(ctx, r, server)
 	defer stop()
+	if f.limited() {
+		if ref := f.awaitRight(ownedCtx, r, snap.Servers[server]); ref != nil {
+			if ownedCtx.Err() != nil && ctx.Err() == nil {
+				ref = errTryAgain
+			}
+			return grantedServer{}, ref
+		}
+	}
 	granted, ref := f.acquireUnpaused(ownedCtx, snap, r, server)
 	if ownedCtx.Err() == nil || ctx.Err() != nil {
 		return granted, ref
@@ -80,6 +92,9 @@
 // acquirePooled waits for a slot of a service without keys. If one part of its pool
 // refuses the request, another one may have room.
 func (f *Forwarder) acquirePooled(ctx context.Context, snap *view.Snapshot, r *request) (grantedServer, *refusal) {
+	if granted, ok := f.acquireCanary(ctx, snap, r); ok {
+		return granted, nil
+	}
 	pools, tried := snap.PoolsOf(r.service.Name), []string(nil)
 	ref := &refusal{errkind.NoOwner, f.failureRetryAfter(r), "service has no usable server"}
 	for range maxPoolsTried {
@@ -136,7 +151,13 @@
 	case left <= minAttemptTime:
 		return grantedServer{}, &refusal{errkind.QueueFull, defaultRetryAfter, "request's deadline is too near for an attempt: " + r.deadlineCause.Error()}
 	}
-	slot, d := f.Slots.Acquire(ctx, snap, pool, f.permitRequest(snap, r, now, boot))
+	request := f.permitRequest(snap, r, now, boot)
+	if pool == view.CanaryPool(r.service.Name) {
+		// Another server serves the request soon if this one has no free slot.
+		request.StartBy = boot.Add(min(canaryWait, request.StartBy.Sub(boot)))
+		request.PromptBy, request.Work = request.StartBy, workload.Estimate{}
+	}
+	slot, d := f.Slots.Acquire(ctx, snap, pool, request)
 	if slot != nil {
 		slot = measuredSlot{slot, f.Work, r.route.Name}
 	}
@@ -165,6 +186,10 @@
 		slot.Finish(permit.Result{})
 		return grantedServer{}, &refusal{errkind.FreshnessLost, defaultRetryAfter, "configuration was not confirmed recently enough"}
 	}
+	if !f.takeRight(r, server) {
+		slot.Finish(permit.Result{})
+		return grantedServer{}, errTryAgain
+	}
 	return grantedServer{Server: server, slot: slot}, nil
 }
 
@@ -191,7 +216,7 @@
 func (f *Forwarder) permitRequest(snap *view.Snapshot, r *request, now, boot time.Time) permit.Request {
 	left, objectiveLeft := r.deadline.Sub(now), r.route.Objective-now.Sub(r.Arrived)
 	out := permit.Request{
-		Customer: r.customerID(), Priority: r.priority(), Avoid: r.triedServers, Excluded: r.paused,
+		Customer: r.customerID(), Priority: r.priority(), Avoid: r.triedServers, Excluded: slices.Concat(r.paused, r.noRight),
 		StartBy: boot.Add(time.Duration(float64(left) * slotWaitShare)), PromptBy: boot.Add(objectiveLeft / 2),
 		Lease: left + slotLeaseMargin, Repeatable: r.attempts.Repeatable, Bytes: r.bodyBytes(snap), Route: r.route.Name, Work: f.Work.Of(r.route.Name), AnswerBy: boot.Add(left),
 	}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -65,7 +65,9 @@
 			kind := r.attempts.AdjustKind(ref.kind)
 			return f.refuse(r, kind, ref.retryAfter, ref.reason), kind != ref.kind
 		}
+		r.sendingTo = server.Server
 		res := f.sendOnce(workCtx, r, server)
+		f.observe(workCtx, r, server, res)
 		if res.outcome == Answered {
 			return f.deliver(workCtx, r, server, res, cancel), true
 		}
@@ -197,7 +199,7 @@
 	if err != nil {
 		res := resultOfError(err)
 		res.serviceTime = serviceTime
-		failed := r.failedByServer(ctx) && !errors.Is(err, ErrStopping)
+		failed := r.failedByServer(ctx) && !errors.Is(err, ErrStopping) && !errors.Is(err, errRightExpired)
 		f.finishFailed(r, server, permit.Result{Failed: failed}, serviceTime)
 		return res
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -16,12 +16,14 @@
 
 	"godwitlock.example/godwitlock/clock"
 	"godwitlock.example/godwitlock/declog"
+	"godwitlock.example/godwitlock/directory"
 	"godwitlock.example/godwitlock/egress"
 	"godwitlock.example/godwitlock/errkind"
 	"godwitlock.example/godwitlock/ingress"
 	"godwitlock.example/godwitlock/keyrange"
 	"godwitlock.example/godwitlock/permit"
 	"godwitlock.example/godwitlock/pushback"
+	"godwitlock.example/godwitlock/rollout"
 	"godwitlock.example/godwitlock/routemap"
 	"godwitlock.example/godwitlock/spread"
 	"godwitlock.example/godwitlock/topo"
@@ -87,6 +89,8 @@
 	Pauses *pushback.Table
 	// Work holds the expected service times of the routes.
 	Work *workload.Table
+	// Rollouts says which versions may be used; nil if there are no roll-outs.
+	Rollouts Rollouts
 }
 
 // Forwarder answers callers' requests. It is safe for concurrent use.
@@ -180,8 +184,16 @@
 	triedServers  []topo.ServerID
 	// paused holds the servers of a service without keys that want no requests
 	// from this VM at present.
-	paused  []topo.ServerID
-	hasBody bool
+	paused []topo.ServerID
+	// noRight holds servers whose version must not be used, although a slot of theirs
+	// was granted. skipCanary says that no server of a roll-out's target had room, and
+	// ticket is the right that was taken for the next attempt.
+	noRight    []topo.ServerID
+	skipCanary bool
+	ticket     rollout.Ticket
+	// sendingTo is the server of the present attempt.
+	sendingTo *directory.Server
+	hasBody   bool
 	// rateTokenTaken says that a token was taken from the customer's rate limit.
 	// The token is returned when the request did not run.
 	rateTokenTaken bool
@@ -212,6 +224,9 @@
 	r.service = snap.Routes.Service(destination.Service)
 	r.returned = f.returns.Returned(r.route.Name, r.Deadline.Sub(r.Arrived))
 	f.Budgets.CountRequest(destination.Service, r.returned)
+	if f.limited() {
+		f.Rollouts.Arrived(destination.Service)
+	}
 	if r.service.Keyed {
 		f.Stats.Arrived(destination.Service, r.Key)
 	}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -18,6 +18,7 @@
 	"godwitlock.example/godwitlock/leader"
 	"godwitlock.example/godwitlock/metric"
 	"godwitlock.example/godwitlock/ownership"
+	"godwitlock.example/godwitlock/rollout"
 	"godwitlock.example/godwitlock/routemap"
 	"godwitlock.example/godwitlock/store"
 	"godwitlock.example/godwitlock/store/memstore"
@@ -154,6 +155,10 @@
 func (memPlatform) ColdFor(context.Context, string, string, topo.ServerID) (time.Duration, error) {
 	return 0, nil
 }
+func (memPlatform) DecodeRollout(store.Object) (rollout.Order, error) { return rollout.Order{}, nil }
+func (memPlatform) WriteRolloutStatus(context.Context, string, rollout.Status) error {
+	return nil
+}
 func (memPlatform) SendOrder(context.Context, string, ownership.Order, func() time.Time) (ownership.Outcome, string, error) {
 	return ownership.Done, "", nil
 }
--- a/node/placement.go
+++ b/node/placement.go
@@ -117,6 +117,7 @@
 		a.loads.withLoad(svc.Name, func(l *placement.Load) {
 			l.Decay(now)
 			a.logRefusals(svc, l.ServiceRefusing(servers))
+			a.moveVersions(now, m, snap, svc, l)
 			moves := plan(l, servers, placementRanges(now, m))
 			a.logPlan(svc, m, l, moves, clock.Boot().Sub(now))
 			for _, mv := range moves {
--- a/standin/platform/site/site.go
+++ b/standin/platform/site/site.go
@@ -9,6 +9,8 @@
 	Front, Ready  string
 	InternalPorts [2]string
 	Store         string
+	// Bounds are further bounds, each as "name=value".
+	Bounds []string
 }
 
 // Limits are the resource limits of a VM; 0 means none.
@@ -23,11 +25,15 @@
 
 // Settings returns the content of the settings file of a VM.
 func Settings(name, dataCentre string, p Addresses, l Limits) string {
+	bounds := ""
+	for _, b := range p.Bounds {
+		bounds += fmt.Sprintf(",%q", b)
+	}
 	return fmt.Sprintf(`node = %q
 ip = "127.0.0.1"
 zone = %q
 internalPorts = [%s, %s]
-bounds = ["revokeS=5","graceS=%d","drainS=2","maxHoldS=10","retryRatio=0.2","retrySlack=20","quotaWindowS=5"]
+bounds = ["revokeS=5","graceS=%d","drainS=2","maxHoldS=10","retryRatio=0.2","retrySlack=20","quotaWindowS=5"%s]
 [listen]
 front = %q
 ready = %q
@@ -37,7 +43,7 @@
 maxFds = %d
 [platform]
 addr = %q
-`, name, dataCentre, p.InternalPorts[0], p.InternalPorts[1], GraceS, p.Front, p.Ready, l.RAMMb, l.MaxFds, p.Store)
+`, name, dataCentre, p.InternalPorts[0], p.InternalPorts[1], GraceS, bounds, p.Front, p.Ready, l.RAMMb, l.MaxFds, p.Store)
 }
 
 // PutConfig writes a configuration with one keyed service, "ledger", a route
