placement: parts of a hot stretch count as hot from the start; slowing servers simulated

Cause: a part of 14 hot keys was measured by its average over 6 s right after it had been split off (0.8/s instead of 31/s), since only ranges of up to 8 keys looked at their neighbours, and so it moved to a busy server or stayed on one. The simulation had no servers that slow down several times a second. Change: ranges of up to 64 keys look at 16 keys on each side. Cases with every fifth server at a third of its speed for an eighth of each quarter of a second.

--- a/placement/hotset_test.go
+++ b/placement/hotset_test.go
@@ -52,6 +52,9 @@
 	hotKeys           int
 	hotShare, hotSkew float64
 	scattered         bool
+	// slowing is set if every fifth server takes three times as long for an eighth of a
+	// second in every quarter.
+	slowing bool
 	// refusedShare is the part of the requests that all servers turn away between
 	// simHotStart and simRefusalEnd although they have free slots. Their callers come
 	// again once.
@@ -334,6 +337,9 @@
 		srv.running++
 		srv.runningByKey[r.key]++
 		d := s.work * (0.5 + 0.5*s.rng.ExpFloat64()) / srv.speed
+		if i := s.index[srv.ID]; s.slowing && i%5 == 0 && int(s.now*8+float64(i))%2 == 0 {
+			d *= 3
+		}
 		s.at(s.now+d, func() { s.finish(srv, r, d) })
 	}
 }
@@ -600,6 +606,11 @@
 		"deployment 2, 200 keys":       {254, 254, 0},
 		"deployment 2, 60 uneven keys": {166, 157, 0},
 		"deployment 2, calm":           {0, 0, 204},
+
+		"deployment 1, 60 keys, slowing servers": {549, 775, 0},
+		"deployment 2, 60 keys, slowing servers": {413, 378, 0},
+		"deployment 1, calm, slowing servers":    {0, 0, 162},
+		"deployment 2, calm, slowing servers":    {0, 0, 186},
 	}
 	var out []hotSetCase
 	for i, base := range []hotSetCase{first, second} {
@@ -608,10 +619,13 @@
 			{name: "200 keys", hotKeys: 200, hotShare: 0.45},
 			{name: "200 scattered keys", hotKeys: 200, hotShare: 0.3, scattered: true},
 			{name: "60 uneven keys", hotKeys: 60, hotShare: 0.3, hotSkew: 0.3},
+			{name: "60 keys, slowing servers", hotKeys: 60, hotShare: 0.45, slowing: true},
 			{name: "calm"},
+			{name: "calm, slowing servers", slowing: true},
 		} {
 			c := base
 			c.name, c.hotKeys, c.hotShare, c.hotSkew, c.scattered = fmt.Sprintf("deployment %d, %s", i+1, v.name), v.hotKeys, v.hotShare, v.hotSkew, v.scattered
+			c.slowing = v.slowing
 			c.seed, c.earlier = uint64(10*i+1), earlier[c.name]
 			out = append(out, c)
 		}
--- a/placement/measure.go
+++ b/placement/measure.go
@@ -5,10 +5,10 @@
 )
 
 const (
-	// surgeNeighbours is the number of keys on each side of a narrow range that are
-	// looked at as well to tell whether it is in a surge. Busy keys lie close to one
-	// another, and a single key has too few arrivals to show that at once.
-	surgeNeighbours = 8
+	// surgeNeighbours is the number of keys on each side of a range of up to narrowRange
+	// keys that are looked at as well to tell whether it is in a surge. Busy keys lie
+	// close to one another, and a few keys have too few arrivals to show that at once.
+	surgeNeighbours, narrowRange = 16, 64
 	// maxSurgeFactor bounds the factor by which a stretch may draw more at present than
 	// its average over a second says.
 	maxSurgeFactor = 5.0
@@ -63,7 +63,7 @@
 // also the short-term one if its neighbourhood is in a surge.
 func (l *Load) averageOf(r Range) *keyRates {
 	avg := l.averageFor(r.First, r.Last)
-	if avg == &l.longTerm && r.keyCount() <= surgeNeighbours {
+	if avg == &l.longTerm && r.keyCount() <= narrowRange {
 		return l.averageFor(keyrange.Key(max(0, int(r.First)-surgeNeighbours)), keyrange.Key(min(int(keyrange.MaxKey), int(r.Last)+surgeNeighbours)))
 	}
 	return avg
