ingress, platform: limits per caller as settings

Cause: fields, pipelined requests and the times of bodies and answers were constants or had no bound; a caller that sends a long body a few bytes at a time, each within 5 s, held a server's connection for the route's timeout.

Change: settings callers.maxFields, maxPipelined, bodyTimeoutS, minBodyBytesPerS and minResponseBytesPerS. The defaults are the constants of before; a longer body must arrive at 1 KiB/s after the first 5 s. maxFields has no default, since maxHeaderBytes allows any number.

Measured: TestLimitsOfACaller, TestSettings; go test -race ./ingress.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// maxPipelined bounds the requests of one connection in flight.
-	maxPipelined = 16
+	// MaxPipelined bounds the requests of one connection in flight.
+	MaxPipelined = 16
 	// maxBufferedBodyBytes is the size of the largest body that is buffered
 	// before the request runs, so that the request can be retried.
 	maxBufferedBodyBytes = 64 << 10
@@ -82,6 +82,8 @@
 	// held is what the requests and responses of the connection hold, and heldSince
 	// since when it holds anything, in Unix nanoseconds.
 	held, heldSince atomic.Int64
+	// callers are the limits of Server.Callers.
+	callers CallerLimits
 	// evictedForMemory is set when the connection is to end since it holds most.
 	evictedForMemory atomic.Bool
 	// aborted is set besides if it owes responses, which are not written then.
@@ -137,9 +139,9 @@
 	limit := readlimit.New(errs)
 	c := &conn{
 		srv: s, nc: nc, limited: limit, errs: errs, br: bufio.NewReaderSize(limit, bufferBytes),
-		ctx: ctx, cancel: cancel,
-		pending: make(chan *pendingResponse, maxPipelined), writerDone: make(chan struct{}),
+		ctx: ctx, cancel: cancel, callers: s.Callers.withDefaults(), writerDone: make(chan struct{}),
 	}
+	c.pending = make(chan *pendingResponse, c.callers.Pipelined)
 	c.firstBuffer = c.br
 	c.lastWrite.Store(time.Now().UnixNano())
 	c.state.onIdle = func(idle bool) { s.bound.idle.set(c, idle) }
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -119,6 +119,8 @@
 	// Memory, unless nil, is the memory for what callers make the process hold. It
 	// must be set before Serve.
 	Memory *membudget.Budget
+	// Callers bounds what one caller may do. It must be set before Serve.
+	Callers CallerLimits
 	// evicting is held while connections are chosen to be closed for lack of memory.
 	evicting sync.Mutex
 	// evictions and refusedConns count the connections that were closed and refused
@@ -192,6 +194,45 @@
 	}
 }
 
+// CallerLimits bounds what one caller may do within the Limits. Zero fields stand for the
+// defaults, which no caller within the Limits meets that sends and reads at a usual rate.
+type CallerLimits struct {
+	// Fields bounds the lines of a head; by default only Limits.HeaderBytes does.
+	Fields int
+	// Pipelined bounds the requests of one connection in flight. Further ones wait in
+	// the connection. It is at most 16, the default.
+	Pipelined int
+	// BodyTime bounds the time to receive a body that is buffered before its request
+	// runs, and each read of a longer one.
+	BodyTime time.Duration
+	// BodyRate and AnswerRate are the least rates, in bytes per second, at which a
+	// longer body must arrive and a streamed answer must be read after the first
+	// BodyTime and after 5 s.
+	BodyRate, AnswerRate int64
+}
+
+// defaultCallerLimits are the defaults of CallerLimits.
+var defaultCallerLimits = CallerLimits{
+	Pipelined: MaxPipelined, BodyTime: bodyReadTimeout, BodyRate: 1 << 10, AnswerRate: 16 << 10,
+}
+
+// withDefaults returns the limits with defaults for zero fields.
+func (l CallerLimits) withDefaults() CallerLimits {
+	if l.Pipelined <= 0 || l.Pipelined > MaxPipelined {
+		l.Pipelined = defaultCallerLimits.Pipelined
+	}
+	if l.BodyTime <= 0 {
+		l.BodyTime = defaultCallerLimits.BodyTime
+	}
+	if l.BodyRate <= 0 {
+		l.BodyRate = defaultCallerLimits.BodyRate
+	}
+	if l.AnswerRate <= 0 {
+		l.AnswerRate = defaultCallerLimits.AnswerRate
+	}
+	return l
+}
+
 // effectiveLimits returns the configured limits, with defaults for zero fields.
 func (s *Server) effectiveLimits() Limits {
 	l := s.limits()
--- a/ingress/memory_test.go
+++ b/ingress/memory_test.go
@@ -10,11 +10,14 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"godwitlock.example/godwitlock/internal/pipe"
 	"godwitlock.example/godwitlock/membudget"
 )
 
@@ -229,13 +232,14 @@
 // Guards against a caller that reads a few bytes now and then and holds a connection to
 // a server, and against a cut where the source is slow.
 func TestPaceOfACallerThatReadsSlowly(t *testing.T) {
-	var p writePace
+	const rate = 1000
+	p := writePace{rate: rate}
 	require.Equal(t, writeTimeout, p.left())
 	p.blocked, p.written = writeTimeout, 0
 	require.LessOrEqual(t, p.left(), time.Duration(0))
-	p.written = minWriteRate
+	p.written = rate
 	require.Equal(t, time.Second, p.left())
-	p.written = 100 * minWriteRate
+	p.written = 100 * rate
 	require.Equal(t, writeTimeout, p.left(), "each write is bounded too")
 }
 
@@ -280,3 +284,75 @@
 		}
 	})
 }
+
+// Guards against limits of callers that are not kept, and against a caller that sends a
+// long body so slowly that it holds a server's connection.
+func TestLimitsOfACaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lis := pipe.Listen()
+		defer func() { _ = lis.Close() }()
+		var running, most atomic.Int64
+		s := NewServer(testHeaders, func(_ context.Context, r *Request) *Response {
+			most.Store(max(most.Load(), running.Add(1)))
+			defer running.Add(-1)
+			if r.Stream != nil {
+				if _, err := io.Copy(io.Discard, r.Stream); err != nil {
+					return textResponse(408, "")
+				}
+				return textResponse(200, "")
+			}
+			time.Sleep(time.Second)
+			return textResponse(200, "")
+		}, func() Limits { return Limits{} })
+		s.Callers = CallerLimits{Fields: 5, Pipelined: 3, BodyTime: 2 * time.Second, BodyRate: 100}
+		go func() { _ = s.Serve(lis) }()
+		connect := func() (net.Conn, *bufio.Reader) {
+			nc, err := lis.Dial(t.Context(), "", "")
+			require.NoError(t, err)
+			return nc, bufio.NewReader(nc)
+		}
+
+		nc, br := connect()
+		send(t, nc, "GET / HTTP/1.1\r\nHost: h\r\n"+fields(4, 1)+"\r\n")
+		resp, _ := receive(t, br)
+		require.Equal(t, 200, resp.StatusCode)
+		go func() { _, _ = io.WriteString(nc, "GET / HTTP/1.1\r\nHost: h\r\n"+fields(5, 1)+"\r\n") }()
+		resp, _ = receive(t, br)
+		require.Equal(t, 431, resp.StatusCode)
+		_ = nc.Close()
+
+		nc, br = connect()
+		most.Store(0)
+		go func() { _, _ = io.WriteString(nc, strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", 12)) }()
+		for range 12 {
+			resp, _ := receive(t, br)
+			require.Equal(t, 200, resp.StatusCode)
+		}
+		// Besides those that wait, one is being answered and one was just read.
+		require.LessOrEqual(t, most.Load(), int64(3+2))
+		require.GreaterOrEqual(t, most.Load(), int64(3))
+		_ = nc.Close()
+
+		for _, c := range []struct {
+			step   int
+			status int
+		}{{60, 408}, {200, 200}} {
+			nc, br = connect()
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				_, _ = io.WriteString(nc, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 70000\r\n\r\n"+strings.Repeat("x", 1000))
+				for sent := 1000; sent < 70000; sent += c.step {
+					if _, err := io.WriteString(nc, strings.Repeat("x", min(c.step, 70000-sent))); err != nil {
+						return
+					}
+					time.Sleep(time.Second)
+				}
+			}()
+			resp, _ = receive(t, br)
+			require.Equal(t, c.status, resp.StatusCode)
+			_ = nc.Close()
+			<-done
+		}
+	})
+}
--- a/ingress/open.go
+++ b/ingress/open.go
@@ -10,7 +10,7 @@
 // maxOutstanding is a bound of the requests of a connection that were read and
 // not answered: those in pending, the one that writeLoop answers and the one that
 // readLoop adds.
-const maxOutstanding = maxPipelined + 2
+const maxOutstanding = MaxPipelined + 2
 
 // outstandingList holds the outstanding requests of a connection. readLoop adds
 // them and writeLoop removes them, in the same order; anyone may list them.
--- a/ingress/owed_test.go
+++ b/ingress/owed_test.go
@@ -233,7 +233,7 @@
 func TestDrainAnswersRequestsBeyondThePipelineLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var uris []string
-		for i := range maxPipelined + 8 {
+		for i := range MaxPipelined + 8 {
 			uris = append(uris, "/"+strconv.Itoa(i))
 		}
 		g := newGates("/0")
--- a/ingress/pace.go
+++ b/ingress/pace.go
@@ -5,23 +5,26 @@
 	"time"
 )
 
-// minWriteRate is the least rate, in bytes per second, at which a caller must read a
-// streamed response, not counting the time for which its source is waited for. A slower
-// one would hold a connection to a server.
-const minWriteRate = 16 << 10
-
-// writePace measures how fast a caller reads.
+// writePace measures how fast a caller reads a streamed response, not counting the time
+// for which its source is waited for. A slow caller would hold a connection to a server.
 type writePace struct {
+	// rate is the least rate in bytes per second.
+	rate    int64
 	written int64
 	blocked time.Duration
 }
 
 // left returns how long the next write may take.
 func (p *writePace) left() time.Duration {
-	allowed := writeTimeout + time.Duration(p.written)*time.Second/minWriteRate
+	allowed := writeTimeout + timeFor(p.written, p.rate)
 	return min(writeTimeout, allowed-p.blocked)
 }
 
+// timeFor returns how long n bytes take at a rate in bytes per second.
+func timeFor(n, rate int64) time.Duration {
+	return time.Duration(float64(n) / float64(rate) * float64(time.Second))
+}
+
 // flush writes n bytes of a body that are in bw.
 func (p *writePace) flush(bw *bufio.Writer, n int) error {
 	began := time.Now()
--- a/ingress/read.go
+++ b/ingress/read.go
@@ -53,6 +53,10 @@
 	if refusal != nil {
 		return nil, refusal, nil
 	}
+	if most := c.callers.Fields; most > 0 && lines > most+2 {
+		// The request line and the empty line are no fields.
+		return nil, statusResponse(http.StatusRequestHeaderFieldsTooLarge), nil
+	}
 	cost := headCost(size, lines) + requestBytes
 	if !c.take(membudget.Heads, c.classOfNext(), cost) {
 		return nil, overloaded(), nil
@@ -150,10 +154,10 @@
 	if hr.Body == http.NoBody || hr.ContentLength == 0 {
 		return req, nil, nil
 	}
-	c.setReadDeadline(time.Now().Add(bodyReadTimeout))
+	c.setReadDeadline(time.Now().Add(c.callers.BodyTime))
 	source := http.MaxBytesReader(nil, hr.Body, limits.BodyBytes)
 	if hr.ContentLength > maxBufferedBodyBytes {
-		req.Stream, req.Length = &bodyReader{c: c, r: source}, hr.ContentLength
+		req.Stream, req.Length = &bodyReader{c: c, r: source, began: time.Now()}, hr.ContentLength
 		return req, nil, nil
 	}
 	data, err := c.bufferBody(source, hr.ContentLength, held)
@@ -174,7 +178,7 @@
 		req.Body = data
 		return req, nil, nil
 	}
-	rest := &bodyReader{c: c, r: source}
+	rest := &bodyReader{c: c, r: source, began: time.Now()}
 	req.Stream, req.Length = io.MultiReader(bytes.NewReader(data), rest), hr.ContentLength
 	return req, nil, nil
 }
@@ -211,13 +215,29 @@
 	}
 }
 
-// bodyReader reads a streamed body with bodyReadTimeout for each read.
+// bodyReader reads a streamed body with a bound for each read and for its rate. Time for
+// which the receiver does not read does not count.
 type bodyReader struct {
 	c *conn
 	r io.Reader
+	// began is when the first read may have begun, later by the time between reads.
+	began time.Time
+	ended time.Time
+	read  int64
 }
 
 func (b *bodyReader) Read(p []byte) (int, error) {
-	b.c.setReadDeadline(time.Now().Add(bodyReadTimeout))
-	return b.r.Read(p)
+	now := time.Now()
+	if !b.ended.IsZero() {
+		b.began = b.began.Add(now.Sub(b.ended))
+	}
+	until := now.Add(b.c.callers.BodyTime)
+	if rated := b.began.Add(b.c.callers.BodyTime + timeFor(b.read, b.c.callers.BodyRate)); rated.Before(until) {
+		until = rated
+	}
+	b.c.setReadDeadline(until)
+	n, err := b.r.Read(p)
+	b.read += int64(n)
+	b.ended = time.Now()
+	return n, err
 }
--- a/ingress/unread.go
+++ b/ingress/unread.go
@@ -34,7 +34,7 @@
 		return nil
 	}
 	defer c.srv.Memory.Give(membudget.Heads, discardBytes)
-	for len(ids) < maxPipelined {
+	for len(ids) < MaxPipelined {
 		c.limited.SetLimit(int64(defaultLimits.HeaderBytes + headerSlackBytes))
 		hr, err := http.ReadRequest(br)
 		c.limited.Unlimit()
--- a/ingress/write.go
+++ b/ingress/write.go
@@ -125,7 +125,7 @@
 // tell that the body is incomplete.
 func (c *conn) writeUnframed(bw *bufio.Writer, source io.Reader) error {
 	buf := make([]byte, bufferBytes)
-	var pace writePace
+	pace := writePace{rate: c.callers.AnswerRate}
 	for {
 		n, err := source.Read(buf)
 		c.setWriteDeadline(pace.left())
@@ -148,7 +148,7 @@
 // that it is incomplete.
 func (c *conn) writeStream(bw *bufio.Writer, resp *Response) error {
 	buf := make([]byte, bufferBytes)
-	var pace writePace
+	pace := writePace{rate: c.callers.AnswerRate}
 	remaining := resp.Length
 	for {
 		n, err := resp.Stream.Read(buf)
--- a/node/node.go
+++ b/node/node.go
@@ -181,7 +181,7 @@
 	n.ingress = ingress.NewServer(n.platform.CallerHeaders(), n.forward.Serve, n.callerLimits)
 	n.ingress.OnAnswerDropped, n.ingress.OnUnread = n.recordDroppedAnswer, n.recordUnread
 	n.ingress.MaxConnections = func() int { return int(n.callerBound.Load()) }
-	n.ingress.Memory = n.memory
+	n.ingress.Memory, n.ingress.Callers = n.memory, n.settings.Callers
 	n.updateCallerBound()
 	n.grpc = grpc.NewServer(peer.ServerOptions()...)
 	fleetpb.RegisterFleetServer(n.grpc, fleet.NewServer(n.hub, n.broker, n.rates))
--- a/node/settings.go
+++ b/node/settings.go
@@ -26,6 +26,8 @@
 	MaxFiles    int
 	// CPUShare is the share of one CPU core that the VM has; 0 means a whole core.
 	CPUShare float64
+	// Callers bounds what one caller may do.
+	Callers ingress.CallerLimits
 	// Bootstrap says that the whole system starts for the first time.
 	Bootstrap bool
 	Bounds    Bounds
