gateway, daemon, ingress: the same budget for the product's own front end

Cause: package gateway parsed heads while they arrived and buffered bodies of 64 KiB for up to 2,048 requests, whatever the memory of the VM; the admin address took heads of 1 MB.

Change: setting memory_mb of the daemon (0: no limit, as before) gives the gateway a budget. A connection, each byte of a head that net/http parses, a request and a buffered body are accounted for; what does not fit is refused (queue_full) or its connection is closed before the request runs. The garbage collector's limit follows. The cost of a parsed head is in membudget now.

No crowd was started against godwitlockd. Not covered: heads of HTTP/2 before they are parsed.

--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strings"
 	"syscall"
 
@@ -14,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"godwitlock.example/godwitlock/daemon"
+	"godwitlock.example/godwitlock/membudget"
 	"godwitlock.example/godwitlock/settings"
 )
 
@@ -36,6 +38,9 @@
 		level = zerolog.InfoLevel
 	}
 	log := zerolog.New(stderr).Level(level).With().Timestamp().Logger()
+	if limit := membudget.CollectorLimit(cfg.MemoryMB << 20); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	d, err := daemon.Listen(cfg, daemon.Options{Log: log})
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, "godwitlockd:", err)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"godwitlock.example/godwitlock/gateway"
 	"godwitlock.example/godwitlock/home"
 	"godwitlock.example/godwitlock/internal/supervised"
+	"godwitlock.example/godwitlock/membudget"
 	"godwitlock.example/godwitlock/peer"
 	"godwitlock.example/godwitlock/router"
 	"godwitlock.example/godwitlock/settings"
@@ -154,6 +155,7 @@
 	d.gateway = gateway.New(gateway.Config{
 		Authenticator: authenticator{d.verifier}, Admitter: admitter{d.gate},
 		Routes: &d.routes, Probes: probes{d.node}, Doer: d.router, Log: d.log, TLS: setup.caller,
+		Memory: membudget.New(membudget.CallerLimit(d.cfg.MemoryMB << 20)),
 	})
 	d.certs = setup.certs
 	d.grpc = grpc.NewServer(append(setup.server, grpc.MaxConcurrentStreams(maxPeerStreams), grpc.StatsHandler(&d.pool.Traffic),
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -60,6 +60,16 @@
 	return err
 }
 
+const (
+	// maxAdminHeadBytes bounds the head of a request to the admin address. net/http adds
+	// 4 KiB.
+	maxAdminHeadBytes = 4 << 10
+	// adminTimeout bounds reading such a request and writing the response to it.
+	adminTimeout = 5 * time.Second
+	// adminIdleTimeout is how long an idle connection to the admin address is kept.
+	adminIdleTimeout = 30 * time.Second
+)
+
 // serveAdmin serves status, owner lookups and metrics to operators.
 func (d *Daemon) serveAdmin(ctx context.Context) error {
 	mux := http.NewServeMux()
@@ -67,7 +77,10 @@
 	mux.HandleFunc("GET /owner", d.owner)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { writeVars(w, d.vars()) })
 	mux.Handle("GET /debug/vars", expvar.Handler())
-	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	srv := &http.Server{
+		Handler: mux, MaxHeaderBytes: maxAdminHeadBytes,
+		ReadTimeout: adminTimeout, WriteTimeout: adminTimeout, IdleTimeout: adminIdleTimeout,
+	}
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 	defer stop()
 	return taskResult(srv.Serve(d.adminLis))
--- a/gateway/conns.go
+++ b/gateway/conns.go
@@ -7,6 +7,10 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+
+	"github.com/juju/errors"
+
+	"godwitlock.example/godwitlock/membudget"
 )
 
 // The states of a trackedConn.
@@ -27,23 +31,49 @@
 // as idle until the head of its next request is complete.
 type trackedConn struct {
 	net.Conn
-	state atomic.Uint32
+	tracker *connTracker
+	state   atomic.Uint32
+	// charged is what is accounted for the head that is being read.
+	charged atomic.Int64
 }
 
+const (
+	// connBytes is what a connection holds: the buffers and the stack of net/http.
+	connBytes = 24 << 10
+	// headFactor is how many times its text a head may take that net/http parses while
+	// it arrives: 144 bytes for a field of 6 bytes.
+	headFactor = 24
+)
+
+// errNoMemory ends a connection whose head does not fit into the memory budget. Its
+// request has not run.
+var errNoMemory = errors.New("no memory for the head of a request")
+
 // Read implements net.Conn.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.state.CompareAndSwap(connIdle, connReading)
 	}
+	if n > 0 && c.state.Load() == connReading && c.tracker.memory != nil {
+		if !c.tracker.memory.Take(membudget.Heads, membudget.NewHead, int64(headFactor*n)) {
+			return 0, errNoMemory
+		}
+		c.charged.Add(int64(headFactor * n))
+	}
 	return n, err
 }
 
+// uncharge gives back what was accounted for the head.
+func (c *trackedConn) uncharge() { c.tracker.memory.Give(membudget.Heads, c.charged.Swap(0)) }
+
 // connTracker holds the listeners and the open connections of a Gateway.
 type connTracker struct {
 	mu        sync.Mutex
 	listeners []*trackedListener
 	conns     map[*trackedConn]struct{}
+	// memory, unless nil, accounts for the connections and their heads.
+	memory *membudget.Budget
 }
 
 // trackedListener accepts connections of a connTracker. It may be closed more than
@@ -60,10 +90,14 @@
 // Accept implements net.Listener.
 func (l *trackedListener) Accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
+	for err == nil && !l.tracker.memory.Take(membudget.Connections, membudget.NewConnection, connBytes) {
+		_ = nc.Close()
+		nc, err = l.Listener.Accept()
+	}
 	if err != nil {
 		return nil, err
 	}
-	c := &trackedConn{Conn: nc}
+	c := &trackedConn{Conn: nc, tracker: l.tracker}
 	l.tracker.mu.Lock()
 	defer l.tracker.mu.Unlock()
 	l.tracker.conns[c] = struct{}{}
@@ -90,7 +124,11 @@
 func (t *connTracker) remove(c *trackedConn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.conns, c)
+	if _, open := t.conns[c]; open {
+		delete(t.conns, c)
+		c.uncharge()
+		t.memory.Give(membudget.Connections, connBytes)
+	}
 }
 
 // closeIdle closes the idle connections and returns the number of connections on
@@ -132,6 +170,9 @@
 // beginHandling records that a handler runs for a request.
 func beginHandling(r *http.Request) {
 	c, _ := r.Context().Value(trackedKey{}).(*trackedConn)
+	if c != nil {
+		c.uncharge()
+	}
 	switch {
 	case c == nil:
 	case r.ProtoMajor == 2:
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -11,6 +11,7 @@
 
 	"godwitlock.example/godwitlock/call"
 	"godwitlock.example/godwitlock/errkind"
+	"godwitlock.example/godwitlock/membudget"
 	"godwitlock.example/godwitlock/topo"
 )
 
@@ -32,6 +33,8 @@
 	// headWritten is set when the response head is written. After that, no
 	// error response can be sent.
 	headWritten bool
+	// held is what the request holds, by purpose.
+	heldHead, heldBody int64
 }
 
 // run validates, admits and forwards the request and streams the response.
@@ -144,6 +147,10 @@
 			src: x.r.Body, control: x.control, now: x.g.cfg.Now, request: x.r, trailer: req.Trailer,
 			readTimeout: x.g.cfg.BodyTimeout, bodyDeadline: deadline, remaining: rt.MaxBody,
 		}
+		if buffered := bufferedBytes(x.r.ContentLength); !x.takeMemory(membudget.Bodies, membudget.Begun, buffered) {
+			mayHaveRun = false
+			return nil, errNoRequestMemory()
+		}
 		if err := x.body.buffer(req); err != nil {
 			mayHaveRun = false
 			return nil, err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"godwitlock.example/godwitlock/call"
+	"godwitlock.example/godwitlock/membudget"
 	"godwitlock.example/godwitlock/topo"
 )
 
@@ -70,6 +71,8 @@
 	// NewID returns a unique request ID; it defaults to a random UUID.
 	NewID func() string
 
+	// Memory, unless nil, is the memory for what callers make the gateway hold.
+	Memory *membudget.Budget
 	// MaxHeaderBytes limits the size of a request's head.
 	MaxHeaderBytes int
 	// MaxInFlight limits the requests in flight; further requests are refused.
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -14,6 +14,7 @@
 
 	"godwitlock.example/godwitlock/call"
 	"godwitlock.example/godwitlock/errkind"
+	"godwitlock.example/godwitlock/membudget"
 )
 
 const (
@@ -51,7 +52,7 @@
 func New(cfg Config) *Gateway {
 	cfg = cfg.withDefaults()
 	g := &Gateway{cfg: cfg, mux: http.NewServeMux(), stats: newStats()}
-	g.tracker.conns = make(map[*trackedConn]struct{})
+	g.tracker.conns, g.tracker.memory = make(map[*trackedConn]struct{}), cfg.Memory
 	g.successLog, g.refusalLog = sampledLogs(cfg)
 	g.mux.HandleFunc("GET "+HealthPath, g.probe(cfg.Probes.Healthy))
 	g.mux.HandleFunc("GET "+ReadyPath, g.probe(g.ready))
@@ -194,10 +195,14 @@
 	g.stats.inFlight.Add(1)
 	defer g.stats.inFlight.Add(-1)
 	defer g.inFlight.Add(-1)
+	defer x.releaseMemory()
 	var err error
-	if g.inFlight.Add(1) > int64(g.cfg.MaxInFlight) {
+	switch {
+	case g.inFlight.Add(1) > int64(g.cfg.MaxInFlight):
 		err = errkind.New(errkind.QueueFull, "too many requests are in progress")
-	} else {
+	case !x.takeMemory(membudget.Heads, membudget.NewHead, membudget.HeadBytes(headSize(r), headLines(r))+requestBytes):
+		err = errNoRequestMemory()
+	default:
 		err = x.run()
 	}
 	g.finish(x, err)
--- a/ingress/memory.go
+++ b/ingress/memory.go
@@ -15,14 +15,13 @@
 const (
 	// ConnBytes is what an idle connection holds: its buffers, and the stacks of its
 	// goroutines.
-	ConnBytes = 16 << 10
+	ConnBytes = 18 << 10
 	// requestBytes is what a request holds besides its head and its body: the stacks
 	// of its goroutines, timers and contexts.
 	requestBytes = 12 << 10
-	// fieldBytes and headBaseBytes are what a parsed head holds for each line and
-	// besides its own text. A map entry, its key and its value take up to 140 bytes,
-	// however short the field is.
-	fieldBytes, headBaseBytes = 144, 2 << 10
+	// readAheadBytes is what an answer that is read ahead holds besides its buffer: the
+	// block and the stack of the goroutine that reads it.
+	readAheadBytes = 8 << 10
 	// evictMinBytes is the least that a connection must hold, besides itself, to be
 	// evicted, and evictMinAge for how long, unless the whole budget is used.
 	evictMinBytes = 16 << 10
@@ -39,12 +38,6 @@
 	minRetryAfter, maxRetryAfter = time.Second, 4 * time.Second
 )
 
-// headCost returns an upper bound of what a parsed head of the given size and number of
-// lines holds.
-func headCost(size, lines int) int64 {
-	return int64(size) + int64(lines)*fieldBytes + headBaseBytes
-}
-
 // memory is what a request holds, by purpose.
 type memory [len(purposeList)]int64
 
@@ -98,13 +91,13 @@
 
 // responseCost returns what a response holds besides a streamed body.
 func responseCost(resp *Response) int64 {
-	n := int64(cap(resp.Body)) + headBaseBytes
+	size, lines := 0, 0
 	for name, values := range resp.Header {
 		for _, v := range values {
-			n += int64(len(name)+len(v)) + fieldBytes
+			size, lines = size+len(name)+len(v), lines+1
 		}
 	}
-	return n
+	return int64(cap(resp.Body)) + membudget.HeadBytes(size, lines)
 }
 
 // classOfNext returns the class of the next request.
--- a/ingress/memory_test.go
+++ b/ingress/memory_test.go
@@ -76,7 +76,7 @@
 		runtime.ReadMemStats(&after)
 		runtime.KeepAlive(kept)
 		live := int64(after.HeapAlloc-before.HeapAlloc) / count
-		require.GreaterOrEqual(t, headCost(len(head), strings.Count(head, "\n")), live, name)
+		require.GreaterOrEqual(t, membudget.HeadBytes(len(head), strings.Count(head, "\n")), live, name)
 	}
 }
 
--- a/ingress/read.go
+++ b/ingress/read.go
@@ -57,7 +57,7 @@
 		// The request line and the empty line are no fields.
 		return nil, statusResponse(http.StatusRequestHeaderFieldsTooLarge), nil
 	}
-	cost := headCost(size, lines) + requestBytes
+	cost := membudget.HeadBytes(size, lines) + requestBytes
 	if !c.take(membudget.Heads, c.classOfNext(), cost) {
 		return nil, overloaded(), nil
 	}
--- a/ingress/readahead.go
+++ b/ingress/readahead.go
@@ -53,7 +53,7 @@
 	defer r.mu.Unlock()
 	if !r.closed {
 		r.buf.Write(data)
-		r.hold(int64(r.buf.Cap()))
+		r.hold(int64(r.buf.Cap()) + readAheadBytes)
 	}
 	r.err = err
 	r.changed.Broadcast()
@@ -63,7 +63,7 @@
 	return r.err == nil && !r.closed
 }
 
-// hold accounts for a buffer of n bytes. The caller holds mu.
+// hold accounts for n bytes in all. The caller holds mu.
 func (r *readAhead) hold(n int64) {
 	if n == r.held {
 		return
--- a/membudget/membudget.go
+++ b/membudget/membudget.go
@@ -212,3 +212,12 @@
 	}
 	return max(minStoreResponse, int(storeResponseShare*float64(vmBytes))), max(minStoreList, int(storeListShare*float64(vmBytes)))
 }
+
+// fieldBytes and headBaseBytes are what a parsed head holds for each line and besides its
+// own text. A map entry, its key and its value take up to 140 bytes, however short the
+// field is.
+const fieldBytes, headBaseBytes = 144, 2 << 10
+
+// HeadBytes returns an upper bound of what a parsed head of the given size in bytes and
+// number of lines holds.
+func HeadBytes(size, lines int) int64 { return int64(size) + int64(lines)*fieldBytes + headBaseBytes }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -62,6 +62,8 @@
 	// PeerTLS is the certificate that this VM presents to other VMs, and the
 	// authority that signs the certificates of VMs.
 	PeerTLS PeerTLS `toml:"peer_tls"`
+	// MemoryMB is the memory of the VM, 0 for no limit.
+	MemoryMB int64 `toml:"memory_mb" help:"memory of the VM in MiB, bounds what callers can make it hold; 0 for no limit"`
 	// AllowPlainHTTP permits callers without TLS. Their caller keys are then
 	// readable on the network.
 	AllowPlainHTTP bool `toml:"allow_plain_http" help:"accept callers without TLS"`
@@ -119,7 +121,7 @@
 		c = tomlcheck.Decode(*file, data, s)
 	}
 	v := validator{c: c, s: s, fromFlag: map[string]string{}}
-	overrides.apply(flags, v.fromFlag)
+	overrides.apply(flags, v.fromFlag, c)
 	if flags.NArg() > 0 {
 		c.AddProblem(Problem{Position: flagPosition(), Message: "unexpected argument " + strconv.Quote(flags.Arg(0))})
 	}
@@ -168,8 +170,11 @@
 }
 
 func defaultText(v reflect.Value) string {
-	if v.Kind() == reflect.String {
+	switch v.Kind() {
+	case reflect.String:
 		return v.String()
+	case reflect.Int64:
+		return strconv.FormatInt(v.Int(), 10)
 	}
 	return ""
 }
@@ -179,7 +184,8 @@
 
 // apply copies the values of the flags that were set into the settings, and
 // records in fromFlag which flag set each field.
-func (o overrides) apply(flags *flag.FlagSet, fromFlag map[string]string) {
+// Values that cannot be parsed are reported to c.
+func (o overrides) apply(flags *flag.FlagSet, fromFlag map[string]string, c *tomlcheck.Checker) {
 	flags.Visit(func(f *flag.Flag) {
 		ov, ok := o[f.Name]
 		if !ok {
@@ -189,6 +195,12 @@
 		switch {
 		case ov.boolValue != nil:
 			ov.target.SetBool(*ov.boolValue)
+		case ov.target.Kind() == reflect.Int64:
+			n, err := strconv.ParseInt(*ov.stringValue, 10, 64)
+			if err != nil {
+				c.AddProblem(Problem{Position: flagPosition(), Message: "-" + f.Name + " must be a whole number, not " + strconv.Quote(*ov.stringValue)})
+			}
+			ov.target.SetInt(n)
 		case ov.target.Kind() == reflect.Slice:
 			ov.target.Set(reflect.ValueOf(splitList(*ov.stringValue)))
 		default:
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -7,6 +7,7 @@
 	"io/fs"
 	"os"
 	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -164,3 +165,20 @@
 		require.Equal(t, required[field], value == "required", field)
 	}
 }
+
+// Guards against a limit of memory that is lost or taken in another unit.
+func TestMemoryLimit(t *testing.T) {
+	args := []string{
+		"-vm", "vm-1", "-data-centre", "dc-a", "-environment", "trial", "-peer-addr", "127.0.0.1:1", "-caller-addr", "127.0.0.1:2",
+		"-platform-url", "http://127.0.0.1:3", "-allow-plain-http", "-allow-plaintext-peers", "-memory-mb",
+	}
+	for value, problem := range map[string]string{"144": "", "0": "", "10": "use 64 to", "150994944": "use 64 to", "x": "whole number"} {
+		s, err := Load(append(args, value), nil, io.Discard)
+		if problem != "" {
+			require.ErrorContains(t, err, problem, value)
+			continue
+		}
+		require.NoError(t, err)
+		require.Equal(t, value, strconv.FormatInt(s.MemoryMB, 10))
+	}
+}
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -58,8 +58,15 @@
 	}
 	v.checkCallerTLS()
 	v.checkPeerTLS()
+	if v.s.MemoryMB != 0 && (v.s.MemoryMB < minMemoryMB || v.s.MemoryMB > maxMemoryMB) {
+		v.addProblem("memory_mb", "", "is %d; use %d to %d, or 0 for no limit", v.s.MemoryMB, minMemoryMB, maxMemoryMB)
+	}
 }
 
+// minMemoryMB leaves room for the program itself; maxMemoryMB finds a value in another
+// unit.
+const minMemoryMB, maxMemoryMB = 64, 1 << 20
+
 func (v *validator) checkName(field, value string) {
 	switch {
 	case value == "":
