--- a/node/settings.go
+++ b/node/settings.go
@@ -33,6 +33,8 @@
 	// BoundServerBytes says that servers crash if the requests that they hold exceed
 	// their memory.
 	BoundServerBytes bool
+	// Callers bounds what one caller may do.
+	Callers ingress.CallerLimits
 	// Bootstrap says that the whole system starts for the first time.
 	Bootstrap bool
 	Bounds    Bounds
