node, fleet: no configuration older than one that a reachable VM has had in force

Cause: a process that started as the store came back from an older copy took its first read for a proof of the newest configuration, and accepted keys that a lost version had withdrawn. Follow calls name the versions of the configurations of both VMs; the higher one is put in force whatever its revision, and a VM that knows of a newer one than its own accepts no caller keys.

--- a/fleet/compress.go
+++ b/fleet/compress.go
@@ -17,16 +17,19 @@
 // leader sends each version to all VMs, some of which have links of 10 Mbit/s. It
 // is safe for concurrent use.
 type configCompressor struct {
-	mu   sync.Mutex
-	rev  int64
-	data []byte
+	mu sync.Mutex
+	// version tells a configuration that was taken from another VM from the one that the
+	// store has at the same revision.
+	rev, version int64
+	data         []byte
 }
 
-// compress returns the gzip form of raw, the configuration at revision rev.
-func (c *configCompressor) compress(raw []byte, rev int64) ([]byte, error) {
+// compress returns the gzip form of raw, the configuration of the given version at revision
+// rev.
+func (c *configCompressor) compress(raw []byte, rev, version int64) ([]byte, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.data != nil && c.rev == rev {
+	if c.data != nil && c.rev == rev && c.version == version {
 		return c.data, nil
 	}
 	var buf bytes.Buffer
@@ -40,7 +43,7 @@
 	if err := w.Close(); err != nil {
 		return nil, errors.Annotate(err, "compressing the configuration")
 	}
-	c.rev, c.data = rev, buf.Bytes()
+	c.rev, c.version, c.data = rev, version, buf.Bytes()
 	return c.data, nil
 }
 
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -42,6 +43,12 @@
 	// OnContact, unless nil, is called after each response of a leader was applied. It
 	// must be set before the follower is used.
 	OnContact func()
+	// AdoptConfig, unless nil, puts a configuration in force that another VM has had in
+	// force. It must be set before the follower is used.
+	AdoptConfig func(raw []byte) error
+	// wantsConfig says that the VM called last asked for the configuration of this one.
+	wantsConfig atomic.Bool
+	compressor  configCompressor
 	// recordLeaseVersion records the version of the lease of a leader in its term.
 	recordLeaseVersion func(holder view.Member, term topo.Term, version uint64)
 
@@ -147,6 +154,7 @@
 		Vm: string(f.self.VM), Boot: f.boot, DataCentre: string(f.self.DataCentre), Addr: f.self.Addr, Leaving: leaving,
 		ConfigRev: configRev, TableVersion: current.Version, WaitMs: FollowWait.Milliseconds(), CpuShare: f.self.CPUShare,
 	}
+	f.addNewerConfig(req)
 	f.view.Directory(func(d *directory.Directory) { req.ServersRev = d.Rev() })
 	var acting Acting
 	if f.Acting != nil {
--- a/fleet/hub.go
+++ b/fleet/hub.go
@@ -59,7 +59,13 @@
 	// that was not known to leave. It must be set before the hub is used.
 	OnLeaving func(topo.Incarnation)
 
-	mu             sync.Mutex
+	// AdoptConfig, unless nil, puts a configuration in force that another VM has had in
+	// force. It must be set before the hub is used.
+	AdoptConfig func(raw []byte) error
+
+	mu sync.Mutex
+	// configAsked is when a VM was last asked for its newer configuration.
+	configAsked    time.Time
 	members        map[topo.VMID]*member
 	membersVersion topo.ListVersion
 	// registry tells which VMs may act under which list of members of this term.
@@ -106,6 +112,7 @@
 // follow waits until the follower's state is outdated or the wait ends, and
 // returns what the follower lacks.
 func (h *Hub) follow(ctx context.Context, req *fleetpb.FollowRequest) (*fleetpb.FollowResponse, error) {
+	h.takeConfig(req)
 	term, leads := h.leads()
 	if !leads {
 		return h.relay(ctx, req)
@@ -125,7 +132,7 @@
 			recordedIn = h.registry
 		}
 		hubChanged := h.changed
-		lacksUpdate := !h.hearsLeader(req, term) || h.lacksTablesOrMembers(req, term)
+		lacksUpdate := h.mayAskConfig(clock.Boot(), req) || !h.hearsLeader(req, term) || h.lacksTablesOrMembers(req, term)
 		h.mu.Unlock()
 		if lacksUpdate {
 			break
@@ -203,7 +210,7 @@
 // configuration or directory in this VM's view.
 func (h *Hub) lacksConfigOrDirectory(req *fleetpb.FollowRequest, term topo.Term) bool {
 	_, rev := h.view.Config()
-	if rev > req.GetConfigRev() {
+	if rev > req.GetConfigRev() || h.view.ConfigVersion() > req.GetConfigVersion() {
 		return true
 	}
 	outdated := false
@@ -266,8 +273,9 @@
 	now := clock.Boot()
 	out.AgeMs, out.StoreAgeMs = now.Sub(h.view.Confirmed()).Milliseconds(), now.Sub(h.oldestStoreResponse()).Milliseconds()
 	raw, rev := h.view.Config()
-	if out.ConfigRev = rev; rev > req.GetConfigRev() {
-		compressed, err := h.configCompressor.compress(raw, rev)
+	out.ConfigVersion, out.WantsConfig = h.view.ConfigVersion(), h.wantsConfig(now, req)
+	if out.ConfigRev = rev; rev > req.GetConfigRev() || out.ConfigVersion > req.GetConfigVersion() {
+		compressed, err := h.configCompressor.compress(raw, rev, out.ConfigVersion)
 		if err != nil {
 			return err
 		}
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -34,7 +34,7 @@
 	if h.Relay == nil || !h.Relay.Fresh() {
 		return &fleetpb.FollowResponse{}, nil
 	}
-	known := &fleetpb.FollowRequest{ConfigRev: req.GetConfigRev(), ServersRev: req.GetServersRev(), Term: relayTerm}
+	known := &fleetpb.FollowRequest{ConfigRev: req.GetConfigRev(), ServersRev: req.GetServersRev(), Term: relayTerm, ConfigVersion: req.GetConfigVersion()}
 	if req.GetRelayBoot() == h.Relay.Boot {
 		known.DirectoryVersion = req.GetRelayVersion()
 	}
@@ -127,7 +127,12 @@
 		if err := f.setConfig(raw, resp.GetConfigRev()); err != nil {
 			return err
 		}
+		if err := f.adoptNewer(raw, resp.GetConfigVersion()); err != nil {
+			return err
+		}
 	}
+	f.view.HearVersion(resp.GetConfigVersion())
+	f.wantsConfig.Store(resp.GetWantsConfig())
 	now := clock.Boot()
 	f.view.Directory(func(d *directory.Directory) {
 		if resp.GetServersRev() > 0 {
--- a/node/era.go
+++ b/node/era.go
@@ -11,13 +11,17 @@
 	"godwitlock.example/godwitlock/topo"
 )
 
+// firstEra is the highest number of the era of a store that has never come back from an
+// older copy. The platform counts from 1.
+const firstEra = 1
+
 // storeEra is the era of the store. It is safe for concurrent use.
 type storeEra struct {
 	mu    sync.Mutex
 	known bool
 	era   topo.Era
 	// settled is when all that was written before the store came back is there again,
-	// or zero if the store has not come back since the process started.
+	// or zero if the store has never come back.
 	settled time.Time
 }
 
@@ -34,7 +38,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	first, restored = !s.known, s.known && era > s.era
-	if restored {
+	if restored || first && era > firstEra {
+		// A process that has just started does not know whether the store came back a
+		// moment ago.
 		s.settled = now.Add(directory.StoreRecoveryGrace)
 	}
 	s.known, s.era = true, max(s.era, era)
--- a/node/era_test.go
+++ b/node/era_test.go
@@ -152,3 +152,34 @@
 	require.True(t, s.proves(topo.RevisionOf(1, 7), now))
 	require.False(t, s.proves(topo.RevisionOf(2, 5), now.Add(time.Second)))
 }
+
+// Guards against a process that starts as the store comes back from an older copy, and
+// accepts keys whose withdrawal the copy lacks.
+func TestProcessThatStartsAfterARestoreDoesNotConfirmTheConfigurationAtOnce(t *testing.T) {
+	for era, waits := range map[topo.Era]bool{0: false, firstEra: false, firstEra + 1: true} {
+		var s storeEra
+		now := time.Unix(1000, 0)
+		first, restored := s.record(era, now)
+		require.True(t, first)
+		require.False(t, restored)
+		rev := topo.RevisionOf(era, 7)
+		require.Equal(t, !waits, s.proves(rev, now))
+		require.Equal(t, !waits, s.proves(rev, now.Add(directory.StoreRecoveryGrace-1)))
+		require.True(t, s.proves(rev, now.Add(directory.StoreRecoveryGrace)))
+	}
+}
+
+// Guards against accepting keys while another VM is known to have had a newer
+// configuration in force, however recently the store has confirmed this one.
+func TestConfigurationOlderThanAnotherVMsIsNotFresh(t *testing.T) {
+	n := &Node{log: declog.New(&bytes.Buffer{}, "a"), view: view.New(), platform: versionPlatform{}}
+	b := DefaultBounds()
+	n.activeBounds.Store(&b)
+	require.NoError(t, n.setConfig([]byte{1}, int64(topo.RevisionOf(2, 50))))
+	n.view.Confirm(bootNow())
+	require.True(t, n.configFresh())
+	n.view.HearVersion(2)
+	require.False(t, n.configFresh())
+	require.NoError(t, n.adoptConfig([]byte{2}))
+	require.True(t, n.configFresh())
+}
--- a/node/node.go
+++ b/node/node.go
@@ -157,6 +157,7 @@
 	n.rates = fleet.NewRates(n.settings.VM, n.view, n.peers, n.log)
 	n.rates.Leads, n.hub.LeaseEnd = n.leadership, n.lease.UsableUntil
 	n.follower.Acting, n.hub.Acting = n.rates.Acting, n.rates.Acting
+	n.follower.AdoptConfig, n.hub.AdoptConfig = n.adoptConfig, n.adoptConfig
 	n.follower.OnContact = n.updateRates
 	n.egress = egress.New(n.platform.ServerHeaders())
 	n.notices = newNotices()
@@ -257,11 +258,27 @@
 	return nil
 }
 
+// adoptConfig puts a configuration in force that another VM has had in force.
+func (n *Node) adoptConfig(raw []byte) error {
+	cfg, err := n.platform.DecodeConfig(raw)
+	if err != nil {
+		return err
+	}
+	m, err := routemap.Compile(cfg)
+	if err != nil {
+		return err
+	}
+	if n.view.AdoptConfig(m, raw) {
+		n.log.Event("config_adopted").Int64("version", m.Version).Send()
+	}
+	return nil
+}
+
 // configFresh reports whether the configuration was confirmed recently enough to
-// accept caller keys.
+// accept caller keys, and no other VM is known to have had a newer one in force.
 func (n *Node) configFresh() bool {
 	age := clock.Boot().Sub(n.view.Confirmed())
-	return age < n.bounds().WithdrawWithin-freshnessMargin
+	return age < n.bounds().WithdrawWithin-freshnessMargin && !n.view.LacksVersion()
 }
 
 // oldestStoreResponse returns the earliest of the times at which the store last
--- a/view/view.go
+++ b/view/view.go
@@ -94,7 +94,10 @@
 	// confirmed is the time of the boot-time clock at which the configuration
 	// was last known to be the newest, in nanoseconds.
 	confirmed atomic.Int64
-	snapshot  atomic.Pointer[Snapshot]
+	// heardVersion is the highest version of the configuration that another VM is known
+	// to have had in force.
+	heardVersion atomic.Int64
+	snapshot     atomic.Pointer[Snapshot]
 }
 
 // New returns a View without configuration, servers, tables or VMs.
@@ -157,6 +160,43 @@
 	return true
 }
 
+// AdoptConfig puts a configuration in force that another VM has had in force, if its
+// version is higher, and reports whether it did. The store may have come back from a copy
+// that is older than this version, so its revision does not matter.
+func (v *View) AdoptConfig(m *routemap.Map, raw []byte) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.routes != nil && m.Version <= v.routes.Version {
+		return false
+	}
+	v.routes, v.configRaw = m, raw
+	v.routesVersion++
+	v.dirty = true
+	v.publish()
+	return true
+}
+
+// HearVersion records that another VM has had a version of the configuration in force.
+func (v *View) HearVersion(version int64) {
+	for {
+		old := v.heardVersion.Load()
+		if version <= old || v.heardVersion.CompareAndSwap(old, version) {
+			return
+		}
+	}
+}
+
+// LacksVersion reports whether another VM has had a newer configuration in force.
+func (v *View) LacksVersion() bool { return v.ConfigVersion() < v.heardVersion.Load() }
+
+// ConfigVersion returns the version of the configuration in force, 0 if there is none.
+func (v *View) ConfigVersion() int64 {
+	if routes := v.Snapshot().Routes; routes != nil {
+		return routes.Version
+	}
+	return 0
+}
+
 // Config returns the stored form of the configuration in force, and the revision of
 // the store up to which it is the newest one known.
 func (v *View) Config() ([]byte, int64) {
