--- a/fleet/hub.go
+++ b/fleet/hub.go
@@ -63,7 +63,13 @@
 	// Rollouts, unless nil, holds the roll-outs. It must be set before the hub is used.
 	Rollouts Rollouts
 
-	mu             sync.Mutex
+	// AdoptConfig, unless nil, puts a configuration in force that another VM has had in
+	// force. It must be set before the hub is used.
+	AdoptConfig func(raw []byte) error
+
+	mu sync.Mutex
+	// configAsked is when a VM was last asked for its newer configuration.
+	configAsked    time.Time
 	members        map[topo.VMID]*member
 	membersVersion topo.ListVersion
 	// registry tells which VMs may act under which list of members of this term.
@@ -113,6 +119,7 @@
 	if h.Rollouts != nil && len(req.GetReverted()) > 0 {
 		h.Rollouts.Learn(req.GetReverted())
 	}
+	h.takeConfig(req)
 	term, leads := h.leads()
 	if !leads {
 		return h.relay(ctx, req)
@@ -132,7 +139,7 @@
 			recordedIn = h.registry
 		}
 		hubChanged := h.changed
-		lacksUpdate := !h.hearsLeader(req, term) || h.lacksTablesOrMembers(req, term)
+		lacksUpdate := h.mayAskConfig(clock.Boot(), req) || !h.hearsLeader(req, term) || h.lacksTablesOrMembers(req, term)
 		h.mu.Unlock()
 		if lacksUpdate {
 			break
@@ -210,7 +217,7 @@
 // configuration or directory in this VM's view.
 func (h *Hub) lacksConfigOrDirectory(req *fleetpb.FollowRequest, term topo.Term) bool {
 	_, rev := h.view.Config()
-	if rev > req.GetConfigRev() {
+	if rev > req.GetConfigRev() || h.view.ConfigVersion() > req.GetConfigVersion() {
 		return true
 	}
 	outdated := false
@@ -274,8 +281,9 @@
 	now := clock.Boot()
 	out.AgeMs, out.StoreAgeMs = now.Sub(h.view.Confirmed()).Milliseconds(), now.Sub(h.oldestStoreResponse()).Milliseconds()
 	raw, rev := h.view.Config()
-	if out.ConfigRev = rev; rev > req.GetConfigRev() {
-		compressed, err := h.configCompressor.compress(raw, rev)
+	out.ConfigVersion, out.WantsConfig = h.view.ConfigVersion(), h.wantsConfig(now, req)
+	if out.ConfigRev = rev; rev > req.GetConfigRev() || out.ConfigVersion > req.GetConfigVersion() {
+		compressed, err := h.configCompressor.compress(raw, rev, out.ConfigVersion)
 		if err != nil {
 			return err
 		}
