ownership: orders of a killed leader are waited for, or refused by a higher fence

Cause: a new leader assumed that all orders of its predecessor ended 0.3 s after the begin of its own lease. Change: after a leader that did not hand over settled, orders of earlier leaders may arrive for 6.5 s (retransmissions of a cut of up to 6.2 s, and 0.3 s of transit). Where a grant without an answer may still reach an owner that has answered the release, the owner gets the keys once more under a higher fence and refuses that grant from then on; then they move at once. Fences are raised 5.4 s after the begin of an unsettled term at the earliest, since continued terms and restored tables rely on that. An order that has arrived at a server does not outlive its process in the model any more. TestMoveWaitsForUnansweredGrants and TestNewLeaderWaitsForItsPredecessorsOrders require the new waits and the raised fence. Costs, by the constants: none in changes where the owners answer; 11.6 s instead of 5.4 s without an owner for keys whose server does not answer the new leader of an unsettled term; up to 0.3 s more for a move between 5.4 s and 11.6 s of such a term; 0.3 s instead of up to 5.4 s for a server that was silent and answers again. Assumed of the platform: bytes of a killed process are sent again at intervals that double from 0.2 s and do not outlive the server's process; the socket options (SO_LINGER 0 and TCP_USER_TIMEOUT, set before the first byte) are kept and not relied on.

--- a/ownership/doc.go
+++ b/ownership/doc.go
@@ -18,9 +18,11 @@
 //     connection does not show that a server has stopped, because servers refuse
 //     connections while their queue is long. A new incarnation of a server may
 //     have taken grants for the earlier one, so it has to answer the release too.
-//   - A new leader does not know the orders of its predecessor, but all of them
-//     were answered or given up before its own lease began, so it bounds their
-//     holds from that moment.
+//   - A new leader does not know the orders of its predecessor. They were answered
+//     or given up before its own lease began, or stay in transit for up to
+//     maxSurvival if the process was killed, so it bounds their holds from that
+//     moment. Their owner refuses them once it has accepted a higher fence, see
+//     Raising.
 //
 // Machine does no I/O and reads no clock: the caller passes in the time, sends
 // the orders and reports their results. It is not safe for concurrent use.
--- a/ownership/era_test.go
+++ b/ownership/era_test.go
@@ -323,7 +323,7 @@
 			delay := time.Duration(rapid.IntRange(0, 12000).Draw(t, "delay")) * time.Millisecond
 			taken := o
 			taken.Owner = f.incarnation(o.Owner.Server)
-			f.delayed = append(f.delayed, delayedOrder{taken, f.now, f.now.Add(delay)})
+			f.delayed = append(f.delayed, delayedOrder{order: taken, arrived: f.now, executeAt: f.now.Add(delay)})
 			f.m.Result(f.now, o, Unanswered, "")
 			continue
 		}
--- a/ownership/machine.go
+++ b/ownership/machine.go
@@ -26,6 +26,11 @@
 	// maxTransit is the maximum time for which an order may be in transit after
 	// its connection was reset.
 	maxTransit = 300 * time.Millisecond
+	// maxSurvival is the maximum time for which an order may be in transit after its
+	// process was killed: nothing resets the connection on every platform. The system
+	// sends bytes again after 0.2 s, 0.4 s and so on, so that those which a cut of up to
+	// 6.2 s has held up arrive 6.2 s after their send at the latest.
+	maxSurvival = 6200*time.Millisecond + maxTransit
 	// lostAfterFailures is the number of consecutive grants without an answer
 	// after which a server counts as lost and its hold is no longer renewed.
 	lostAfterFailures = 3
@@ -61,6 +66,10 @@
 	// Unknown means that the table is an older copy, so that any server may hold
 	// the keys. Nothing is ordered until every hold of before has expired.
 	Unknown
+	// Raising means that the owner has answered the release, but an earlier grant may
+	// still reach it. It gets the keys once more under a higher fence, so that it refuses
+	// that grant, before they can go to another server.
+	Raising
 )
 
 // Hold is a range of keys with its owner, and the state of the owner's right to
@@ -78,10 +87,18 @@
 	// ends. unansweredBound is the same for those orders that got no answer and
 	// may still take effect.
 	holdBound, unansweredBound time.Time
-	nextOrderAt                time.Time
-	inFlight                   bool
-	failures                   int
-	handover                   string
+	// earlierBound is the same as unansweredBound for the orders of earlier leaders,
+	// which may have been killed; zero if they cannot take effect any more.
+	earlierBound time.Time
+	// raising is set while the owner has not accepted the fence that ends a Raising
+	// phase, and raiseFailed once it has not accepted one at the first attempt.
+	raising, raiseFailed bool
+	// replaced is set if the last order went to a new incarnation of the owner.
+	replaced    bool
+	nextOrderAt time.Time
+	inFlight    bool
+	failures    int
+	handover    string
 	// mayHaveMoved is set if the keys may have had an owner that no known table names.
 	mayHaveMoved bool
 	// nextOwner is set in phase Storing.
@@ -150,6 +167,10 @@
 	gapEnd time.Time
 	// inGap is set until gapEnd.
 	inGap bool
+	// raiseFrom is when fences may be raised for the first time: a process that continues
+	// its term after a gap, or finds an older copy of the table, relies on it that no
+	// other leader has moved keys sooner than RestoreWait after the begin of its lease.
+	raiseFrom time.Time
 }
 
 // New returns the Machine of a leader whose lease began at start. It starts from
@@ -164,12 +185,17 @@
 		holdTime: min(HoldTime, maxHold), revision: 1,
 	}
 	end := start.Add(m.maxHoldDuration() + maxTransit)
-	unansweredBound := end
-	if settled {
-		unansweredBound = time.Time{}
+	if !settled {
+		m.raiseFrom = end
 	}
 	for _, r := range table.Ranges {
-		m.holds = append(m.holds, &Hold{Range: r, Phase: Held, holdBound: end, unansweredBound: unansweredBound})
+		h := &Hold{Range: r, Phase: Held, holdBound: end}
+		if !settled {
+			h.unansweredBound = end
+			h.earlierBound = start.Add(m.maxHoldDuration() + maxSurvival)
+			h.holdBound = h.earlierBound
+		}
+		m.holds = append(m.holds, h)
 	}
 	return m
 }
@@ -183,7 +209,7 @@
 	m := New(start, table.SkipLostFences(era, earlierLeaders), version, maxHold, false)
 	m.era, m.firstFence = era, m.table.NextFence
 	for _, h := range m.holds {
-		h.Phase, h.Target = Unknown, h.Server
+		h.Phase, h.Target, h.holdBound = Unknown, h.Server, start.Add(m.maxHoldDuration()+maxTransit)
 	}
 	return m
 }
@@ -196,10 +222,13 @@
 	m.table = m.table.SkipLostFences(era, earlierLeaders)
 	m.table.Term, m.era, m.pending = term, max(m.era, era), nil
 	m.gapEnd, m.inGap = end.Add(m.maxHoldDuration()+maxTransit), true
+	m.raiseFrom = m.gapEnd
 	for _, h := range m.holds {
 		h.inFlight, h.nextOrderAt = false, time.Time{}
 		if h.Phase == Held {
-			h.holdBound, h.unansweredBound = m.gapEnd, m.gapEnd
+			h.unansweredBound = m.gapEnd
+			h.earlierBound = end.Add(m.maxHoldDuration() + maxSurvival)
+			h.holdBound, h.raising = h.earlierBound, false
 			continue
 		}
 		if h.Phase == Storing {
@@ -303,7 +332,8 @@
 }
 
 // Movable reports whether another owner could get the keys of the hold as soon as
-// they are released, because no unanswered order can still take effect.
+// they are released, because no unanswered order of this leader can still take effect. While
+// one of an earlier leader may, phase Raising comes between.
 func (h *Hold) Movable(now time.Time) bool { return h.Phase == Held && now.After(h.unansweredBound) }
 
 // HoldBound returns the latest time at which a hold of the keys of an order may end, as
@@ -322,7 +352,7 @@
 // longer take effect.
 func (m *Machine) Settled(now time.Time) bool {
 	for _, h := range m.holds {
-		if h.inFlight || !now.After(h.unansweredBound) {
+		if h.inFlight || !now.After(h.unansweredBound) || !now.After(h.earlierBound) {
 			return false
 		}
 	}
@@ -415,7 +445,12 @@
 		}
 		r, _ := m.table.Find(h.First)
 		r.First, r.Last = h.First, h.Last
-		*h = Hold{Range: r, Phase: Held, handover: h.handover}
+		next := Hold{Range: r, Phase: Held, handover: h.handover}
+		if h.raising {
+			next.raising, next.Target = true, h.Target
+			next.holdBound, next.unansweredBound, next.earlierBound = h.holdBound, h.unansweredBound, h.earlierBound
+		}
+		*h = next
 	}
 	m.revision++
 }
@@ -433,8 +468,7 @@
 			continue
 		}
 		h.inFlight, h.nextOrderAt = false, now
-		h.holdBound = now.Add(m.maxHoldDuration() + maxTransit)
-		h.unansweredBound = h.holdBound
+		m.unanswered(now, h)
 	}
 }
 
--- a/ownership/machine_test.go
+++ b/ownership/machine_test.go
@@ -84,10 +84,62 @@
 	require.Equal(t, Release, orders[0].Kind)
 	m.Result(now, orders[0], Done, "handed")
 	require.Equal(t, []Phase{Vacating}, phases(m))
-	end := now.Add(HoldTime)
-	require.Empty(t, m.Tick(end, math.MaxInt, usable))
-	m.Tick(end.Add(time.Second), math.MaxInt, usable)
+	require.Empty(t, m.Tick(m.raiseFrom.Add(-time.Millisecond), math.MaxInt, usable))
+	require.False(t, m.Assign(m.Holds()[0], ownerB))
+	// The owner gets the keys once more, so that it refuses the unanswered grant.
+	now = m.raiseFrom
+	orders = m.Tick(now, math.MaxInt, usable)
+	require.Equal(t, Release, orders[0].Kind)
+	m.Result(now, orders[0], Done, "handed")
+	require.False(t, m.Assign(m.Holds()[0], ownerB))
+	m.Tick(now, math.MaxInt, usable)
+	table, _, ok := m.Pending()
+	require.True(t, ok)
+	require.Equal(t, ownerA, table.Ranges[0].Owner)
+	m.Stored(2)
+	require.False(t, m.Holds()[0].Movable(now))
+	orders = m.Tick(now, math.MaxInt, usable)
+	require.Equal(t, Grant, orders[0].Kind)
+	require.Equal(t, "handed", orders[0].Handover)
+	require.Equal(t, int64(2), orders[0].Fence)
+	// The move goes on.
+	m.Result(now, orders[0], Done, "")
+	require.Equal(t, []Phase{Vacating}, phases(m))
+	orders = m.Tick(now, math.MaxInt, usable)
+	m.Result(now, orders[0], Done, "handed again")
 	require.Equal(t, []Phase{Free}, phases(m))
+	require.True(t, m.Assign(m.Holds()[0], ownerB))
+}
+
+// Guards against keys that are assigned to another owner while an unanswered grant may
+// still reach an owner that does not accept a higher fence, or a new incarnation.
+func TestMoveWaitsWhereTheFenceIsNotRaised(t *testing.T) {
+	for name, cond := range map[string]Condition{"refused": Unusable, "replaced": Replaced} {
+		t.Run(name, func(t *testing.T) {
+			m, _ := newGrantedMachine(t)
+			condition := func(keyrange.Owner) Condition { return cond }
+			last := m.raiseFrom.Add(time.Second)
+			orders := m.Tick(last, math.MaxInt, usable)
+			m.Result(last, orders[0], Unanswered, "")
+			for now := last; now.Sub(last) < HoldTime; now = now.Add(100 * time.Millisecond) {
+				for _, o := range m.Tick(now, math.MaxInt, condition) {
+					outcome := Done
+					if o.Kind == Grant {
+						outcome, last = Unanswered, now
+					}
+					m.Result(now, o, outcome, "h")
+				}
+				if _, _, ok := m.Pending(); ok {
+					require.NotEqual(t, Replaced, cond, "a new incarnation does not get the keys of the earlier one")
+					m.Stored(2)
+				}
+				require.NotEqual(t, []Phase{Free}, phases(m))
+				require.Less(t, last.Sub(m.raiseFrom), 2*time.Second, "one attempt to raise the fence")
+			}
+			m.Tick(last.Add(HoldTime+time.Second), math.MaxInt, condition)
+			require.Equal(t, []Phase{Free}, phases(m))
+		})
+	}
 }
 
 // Guards against a bound that an answered grant moves forward, although an earlier grant
@@ -148,7 +200,14 @@
 	orders := m.Tick(start, math.MaxInt, usable)
 	m.Result(start, orders[0], Done, "handed")
 	require.Equal(t, []Phase{Vacating}, phases(m))
-	m.Tick(start.Add(HoldTime+time.Second), math.MaxInt, usable)
+	// Grants of a killed predecessor may be in transit for maxSurvival.
+	for now := start.Add(HoldTime); now.Sub(start) < HoldTime+maxSurvival; now = now.Add(100 * time.Millisecond) {
+		for _, o := range m.Tick(now, math.MaxInt, usable) {
+			m.Result(now, o, Unanswered, "")
+		}
+		require.Equal(t, []Phase{Vacating}, phases(m), "after %v", now.Sub(start))
+	}
+	m.Tick(start.Add(HoldTime+maxSurvival+time.Second), math.MaxInt, usable)
 	require.Equal(t, []Phase{Free}, phases(m))
 }
 
@@ -278,6 +337,11 @@
 	order     Order
 	arrived   time.Time
 	executeAt time.Time
+	// resetAt is when the leader learns the outcome or gives the order up.
+	resetAt time.Time
+	// heldUp is set if the leader was killed before, and the order stays in transit. It
+	// does not outlive the process of its server.
+	heldUp bool
 }
 
 // sentOrder is an order whose leader learns the outcome, or gives up, at endsAt.
@@ -300,10 +364,11 @@
 }
 
 // restart starts a server again under its ID and address. Orders for its earlier life
-// reach it as well.
-func (n *network) restart(id topo.ServerID) {
+// reach it as well, but not those that have arrived there and were not executed.
+func (n *network) restart(id topo.ServerID, now time.Time) {
 	n.startedAt[id]++
 	n.servers[id] = newServer()
+	n.undelivered = slices.DeleteFunc(n.undelivered, func(d delayedOrder) bool { return d.order.Owner.Server == id && (d.heldUp || !d.arrived.After(now)) })
 }
 
 // register tells the leader which servers have started again.
@@ -336,7 +401,7 @@
 	took := upTo(t, maxOrderTime, "took")
 	sent := sentOrder{order: o, endsAt: now.Add(took), outcome: Done}
 	d := delayedOrder{order: o, arrived: now.Add(upTo(t, took, "arrives"))}
-	d.executeAt = d.arrived
+	d.executeAt, d.resetAt = d.arrived, sent.endsAt
 	if n.cut || rapid.IntRange(0, 3).Draw(t, "order_outcome") == 0 {
 		sent.outcome = Unanswered
 		d.arrived = now.Add(upTo(t, took+maxTransit, "arrives late"))
@@ -366,6 +431,9 @@
 func (n *network) endTerm(now time.Time) {
 	latest := now.Add(maxTransit)
 	for i := range n.undelivered {
+		if n.undelivered[i].heldUp {
+			continue
+		}
 		if late := n.undelivered[i].arrived.Sub(latest); late > 0 {
 			n.undelivered[i].arrived = latest
 			n.undelivered[i].executeAt = n.undelivered[i].executeAt.Add(-late)
@@ -374,6 +442,21 @@
 	n.inFlight = nil
 }
 
+// kill ends the term of a leader that is killed: nothing resets the connections of the
+// orders in flight.
+func (n *network) kill(t *rapid.T, now time.Time) {
+	for i := range n.undelivered {
+		d := &n.undelivered[i]
+		if d.heldUp || !d.resetAt.After(now) || !d.arrived.After(now) {
+			continue
+		}
+		d.heldUp = true
+		d.arrived = now.Add(upTo(t, maxSurvival, "is held up"))
+		d.executeAt = d.arrived
+	}
+	n.inFlight = nil
+}
+
 // requireOneOwner fails the test if both servers hold a key.
 func (n *network) requireOneOwner(t *rapid.T, now time.Time) {
 	for _, k := range n.keys {
@@ -410,8 +493,11 @@
 				settled := m.Settled(now)
 				n.endTerm(now)
 				m = New(now, stored, version, 10*time.Second, settled)
+			case 103, 104, 105: // the same, and the leader before was killed
+				n.kill(t, now)
+				m = New(now, stored, version, 10*time.Second, false)
 			case 150, 151, 152, 153, 154:
-				n.restart(rapid.SampledFrom([]topo.ServerID{"a", "b"}).Draw(t, "restarts"))
+				n.restart(rapid.SampledFrom([]topo.ServerID{"a", "b"}).Draw(t, "restarts"), now)
 			case 50, 51, 52, 53, 54:
 				n.register()
 			case 200, 201, 202:
--- a/ownership/step.go
+++ b/ownership/step.go
@@ -27,6 +27,9 @@
 	if h.Phase == Unknown && now.After(h.holdBound) {
 		m.free(h, "")
 	}
+	if h.Phase == Raising && m.pending == nil {
+		h.Phase, h.nextOwner = Storing, h.Owner
+	}
 	if h.Phase != Held && h.Phase != Vacating {
 		return Order{}, false
 	}
@@ -40,7 +43,9 @@
 	if h.inFlight || now.Before(h.nextOrderAt) {
 		return Order{}, false
 	}
-	if h.Phase == Held && (cond != Usable || h.failures >= lostAfterFailures) {
+	// An owner that is unusable gets one grant that only raises the fence.
+	raises := h.raising && cond == Unusable && h.failures < lostAfterFailures
+	if h.Phase == Held && (cond != Usable && !raises || h.failures >= lostAfterFailures) {
 		m.vacate(h, "")
 	}
 	if h.Phase == Held {
@@ -50,6 +55,7 @@
 		m.free(h, h.handover)
 		return Order{}, false
 	}
+	h.replaced = cond == Replaced
 	return m.release(h), true
 }
 
@@ -67,7 +73,7 @@
 }
 
 func (m *Machine) free(h *Hold, handover string) {
-	h.Phase, h.handover, h.inFlight = Free, handover, false
+	h.Phase, h.handover, h.inFlight, h.raising = Free, handover, false, false
 	m.revision++
 }
 
@@ -88,11 +94,19 @@
 }
 
 func (m *Machine) grantResult(now time.Time, h *Hold, outcome Outcome) {
+	unanswered := h.unansweredBound
 	switch outcome {
 	case Done:
+		if h.raising {
+			m.raised(h)
+		}
+		h.raiseFailed = h.raiseFailed && !(now.After(h.unansweredBound) && now.After(h.earlierBound))
 		// An earlier, unanswered grant may arrive after this one.
-		if h.holdBound = now.Add(m.maxHoldDuration()); h.holdBound.Before(h.unansweredBound) {
-			h.holdBound = h.unansweredBound
+		h.holdBound = now.Add(m.maxHoldDuration())
+		for _, bound := range []time.Time{unanswered, h.unansweredBound, h.earlierBound} {
+			if h.holdBound.Before(bound) {
+				h.holdBound = bound
+			}
 		}
 		h.nextOrderAt, h.failures, h.handover = now.Add(renewDelay(h)), 0, ""
 		if !h.Granted {
@@ -113,14 +127,38 @@
 	case Unanswered:
 		h.failures++
 		h.nextOrderAt = now.Add(grantRetryInterval)
-		h.holdBound = now.Add(m.maxHoldDuration() + maxTransit)
-		h.unansweredBound = h.holdBound
+		m.unanswered(now, h)
 	}
 	if h.Phase == Vacating {
 		h.nextOrderAt = now
 	}
 }
 
+// unanswered records that a grant which was given up at now may still take effect.
+func (m *Machine) unanswered(now time.Time, h *Hold) {
+	if h.raising {
+		// The owner does not refuse this grant later, since its fence is the highest.
+		h.raising, h.raiseFailed = false, true
+	}
+	end := now.Add(m.maxHoldDuration() + maxTransit)
+	h.unansweredBound = end
+	if h.holdBound.Before(end) {
+		h.holdBound = end
+	}
+}
+
+// raised records that the owner has accepted the fence that ends a Raising phase. It refuses
+// all earlier grants from now on. Those of this leader can only reach a new incarnation of
+// the owner, until they have arrived; those of an earlier leader end with the connections
+// to the old one.
+func (m *Machine) raised(h *Hold) {
+	h.raising, h.earlierBound = false, time.Time{}
+	h.unansweredBound = h.unansweredBound.Add(-m.maxHoldDuration())
+	if target := h.Target; h.Phase == Held && target != "" && target != h.Server {
+		m.vacate(h, target)
+	}
+}
+
 // renewDelay returns the time until the next renewal of a hold. It differs
 // between holds, so that they are not all renewed at the same time.
 func renewDelay(h *Hold) time.Duration {
@@ -132,13 +170,27 @@
 func (m *Machine) releaseResult(now time.Time, h *Hold, outcome Outcome, handover string) {
 	if outcome == Done {
 		h.handover = handover
-		if now.After(h.unansweredBound) {
+		bound := h.unansweredBound
+		if bound.Before(h.earlierBound) {
+			bound = h.earlierBound
+		}
+		if now.After(bound) {
 			m.free(h, handover)
 			return
 		}
 		// An earlier, unanswered grant may still take effect.
-		h.nextOrderAt = h.unansweredBound
-		h.holdBound = h.unansweredBound
+		if !h.replaced && !h.raiseFailed && now.Before(m.raiseFrom) {
+			h.nextOrderAt = m.raiseFrom
+			h.failures++
+			m.revision++
+			return
+		}
+		if !h.replaced && !h.raiseFailed {
+			h.Phase, h.raising, h.failures = Raising, true, 0
+			m.revision++
+			return
+		}
+		h.nextOrderAt, h.holdBound = bound, bound
 		h.failures++
 		m.revision++
 		return
