permit: decisions tell the cause of a refusal, the wait and late starts

Cause: a refused request showed neither which condition refused it nor how long it had waited, so an operator could not tell a full pool from one without servers, or from servers that do not answer.

No decision changes.

--- a/permit/pool.go
+++ b/permit/pool.go
@@ -93,6 +93,12 @@
 	Probe bool
 	// RetryAfter is the delay after which a refused caller should retry.
 	RetryAfter time.Duration
+	// Cause tells why the request was refused.
+	Cause Cause
+	// Waited is the time that a granted or refused request was queued.
+	Waited time.Duration
+	// Late says that a granted request starts after its latest prompt start.
+	Late bool
 }
 
 // Result describes how a granted request ended.
@@ -138,6 +144,10 @@
 	// kinds and pace serve the requests whose work is known.
 	kinds kinds
 	pace  pace
+	// blocked is why the last request that found free slots could use none of them, and
+	// blockedAt when that was.
+	blocked   Cause
+	blockedAt time.Time
 }
 
 // BoundHeldBytes bounds the size of the bodies that the requests at one server may have
@@ -227,20 +237,25 @@
 		return p.offerKnown(now, r)
 	}
 	if len(p.servers) == 0 {
-		return p.refuse(now, r, 0)
+		return p.refuse(now, r, 0, NoServer)
 	}
 	if p.queue.Len() == 0 {
 		if s := p.choose(now, r); s != nil {
 			p.kinds.ofUnknown(r).decide(now, true)
-			return p.grant(now, r, s)
+			return p.grant(now, now, r, s)
 		}
 	}
 	if p.queue.Len() < maxWaiting && p.queueForFloor(now, r, p.kinds.ofUnknown(r)) {
 		return Decision{ID: r.ID, Verdict: Queued}
 	}
 	wait, ok := p.estimateWait(now, r)
-	if !ok || now.Add(wait).After(r.StartBy) || p.queue.Len() >= maxWaiting {
-		return p.refuse(now, r, wait)
+	switch {
+	case !ok:
+		return p.refuse(now, r, wait, Stalled)
+	case p.queue.Len() >= maxWaiting:
+		return p.refuse(now, r, wait, QueueFull)
+	case now.Add(wait).After(r.StartBy):
+		return p.refuse(now, r, wait, p.refusalCause(now, r, NoRoom))
 	}
 	p.queue.push(now, r)
 	return Decision{ID: r.ID, Verdict: Queued}
@@ -254,16 +269,19 @@
 	r.PromptBy, r.StartBy = p.latestStarts(r)
 	kind.offer(now, r)
 	if len(p.servers) == 0 {
-		return p.refuse(now, r, 0)
+		return p.refuse(now, r, 0, NoServer)
 	}
 	if p.queue.Len() == 0 {
 		if s := p.choose(now, r); s != nil {
 			kind.decide(now, true)
-			return p.grant(now, r, s)
+			return p.grant(now, now, r, s)
 		}
 	}
-	if p.pace.workPerSecond <= 0 || p.queue.Len() >= maxWaiting {
-		return p.refuse(now, r, 0)
+	if p.pace.workPerSecond <= 0 {
+		return p.refuse(now, r, 0, Stalled)
+	}
+	if p.queue.Len() >= maxWaiting {
+		return p.refuse(now, r, 0, QueueFull)
 	}
 	queued := Decision{ID: r.ID, Verdict: Queued}
 	if atFloor := r.withStartBy(floorStartBy); p.queueForFloor(now, atFloor, kind) {
@@ -279,7 +297,7 @@
 	ahead, _ = p.queue.workAhead(true, r.Priority, r, p.pace.typical)
 	late := p.lateWait(now, r, ahead)
 	if now.Add(late).After(r.StartBy) {
-		return p.refuse(now, r, prompt)
+		return p.refuse(now, r, prompt, p.refusalCause(now, r, NoRoom))
 	}
 	p.queue.add(now, r, true, r.Priority)
 	return queued
@@ -381,7 +399,7 @@
 		if w.rank.priority != floorPriority {
 			p.kinds.ofRequest(w.Request).decide(now, true)
 		}
-		out = append(out, p.grant(now, w.Request, s))
+		out = append(out, p.grant(now, w.since, w.Request, s))
 	}
 	if due {
 		out = append(out, p.shedQueue(now)...)
@@ -432,13 +450,19 @@
 func (p *Pool) choose(now time.Time, r Request) *server {
 	var best *server
 	var bestCost float64
+	blocked := NoCause
 	work := p.work(r)
 	for _, s := range p.servers {
-		if !s.canStart(now) || !s.fits(r.Bytes) || slices.Contains(r.Excluded, s.ID) || slices.Contains(r.Avoid, s.ID) && len(p.servers) > len(r.Avoid) {
+		if !s.canStart(now) || slices.Contains(r.Excluded, s.ID) || slices.Contains(r.Avoid, s.ID) && len(p.servers) > len(r.Avoid) {
+			continue
+		}
+		if !s.fits(r.Bytes) {
+			blocked = HeldBytes
 			continue
 		}
 		state := p.health.State(now, s.ID, s.load(now))
 		if state.Ejected && !state.MayProbe(now, r.Repeatable) {
+			blocked = Ejected
 			continue
 		}
 		cost := s.cost(now, r, work, state.Slowness)
@@ -450,6 +474,9 @@
 			best, bestCost = s, cost
 		}
 	}
+	if best == nil && blocked != NoCause {
+		p.blocked, p.blockedAt = blocked, now
+	}
 	return best
 }
 
@@ -491,7 +518,8 @@
 	return t.wait(true, p.queue.ahead(true, r))
 }
 
-func (p *Pool) grant(now time.Time, r Request, s *server) Decision {
+// grant grants a slot of a server to a request that was offered at a time.
+func (p *Pool) grant(now, offered time.Time, r Request, s *server) Decision {
 	probe := s.start(now, r, p.work(r))
 	p.health.ProbeStarted(now, s.ID)
 	p.runningAt[r.ID] = s
@@ -499,24 +527,26 @@
 		p.pace.typical += time.Duration(paceWeight * float64(r.Work.Mean-p.pace.typical))
 	}
 	p.usage.add(r.Customer, s.serviceTime)
-	return Decision{ID: r.ID, Verdict: Granted, Server: s.ID, Probe: probe}
+	return Decision{
+		ID: r.ID, Verdict: Granted, Server: s.ID, Probe: probe, Waited: now.Sub(offered), Late: startsLate(offered, now, r),
+	}
 }
 
 // refuse returns a refusal with a retry delay. The delay follows the estimated
 // wait, so that the queue is shorter at the retry. It is randomised, so that
 // callers do not retry together, and bounded, so that a caller has most of its
 // time left.
-func (p *Pool) refuse(now time.Time, r Request, wait time.Duration) Decision {
+func (p *Pool) refuse(now time.Time, r Request, wait time.Duration, cause Cause) Decision {
 	p.kinds.ofRequest(r).decide(now, false)
 	if r.workKnown() {
-		return Decision{ID: r.ID, Verdict: Refused, RetryAfter: p.roomAfter(now, r, wait)}
+		return Decision{ID: r.ID, Verdict: Refused, RetryAfter: p.roomAfter(now, r, wait), Cause: cause}
 	}
 	latest := min(max(r.StartBy.Sub(now)/retryAfterDivisor, minRetryAfter), maxRetryAfter)
 	// The delay is uniform between 1/2 and 3/2 of the mean, so the mean may be
 	// at most 2/3 of the latest delay.
 	mean := min(max(wait, minRetryAfter), latest*2/3)
 	after := mean/2 + time.Duration(p.rng.Int64N(int64(mean)))
-	return Decision{ID: r.ID, Verdict: Refused, RetryAfter: max(after, minRetryAfter)}
+	return Decision{ID: r.ID, Verdict: Refused, RetryAfter: max(after, minRetryAfter), Cause: cause}
 }
 
 // roomAfter returns the delay after which the pool is expected to have room for a
--- a/permit/sweep.go
+++ b/permit/sweep.go
@@ -26,7 +26,7 @@
 func (s *sweepPlan) visit(w *waiter) {
 	if w.rank.priority == floorPriority {
 		if s.now.After(w.StartBy) {
-			s.refuse(w, 0)
+			s.refuse(w, 0, TooLate)
 			return
 		}
 		s.keep(w)
@@ -39,18 +39,23 @@
 			s.work += s.p.pace.typical
 			return
 		}
-		s.refuse(w, wait)
+		cause := Stalled
+		if ok {
+			cause = s.p.refusalCause(s.now, w.Request, Overtaken)
+		}
+		s.refuse(w, wait, cause)
 		return
 	}
 	if s.p.pace.workPerSecond <= 0 {
-		s.refuse(w, 0)
+		s.refuse(w, 0, Stalled)
 		return
 	}
 	s.keep(w)
 	if w.rank.late {
 		wait := s.p.lateWait(s.now, w.Request, s.work-w.Work.Mean)
 		if s.now.Add(wait / 2).After(w.StartBy) {
-			s.refuse(s.removeMost(w.flow), wait)
+			most := s.removeMost(w.flow)
+			s.refuse(most, wait, s.p.refusalCause(s.now, most.Request, Overtaken))
 		}
 		return
 	}
@@ -82,9 +87,11 @@
 	return w
 }
 
-func (s *sweepPlan) refuse(w *waiter, wait time.Duration) {
+func (s *sweepPlan) refuse(w *waiter, wait time.Duration, cause Cause) {
 	s.p.queue.drop(w)
-	s.out = append(s.out, s.p.refuse(s.now, w.Request, wait))
+	d := s.p.refuse(s.now, w.Request, wait, cause)
+	d.Waited = s.now.Sub(w.since)
+	s.out = append(s.out, d)
 }
 
 // byWork is a heap of requests. The first one has the most work; of requests with the
