broker, node: counts of refusals, waits and late starts of slots

Cause: home VMs showed how many requests wait at present, and nothing about their decisions.

Change: broker.Stats counts refusals by cause, the number and sum of waits by outcome (granted, refused, withdrawn) and late starts, each by priority, in atomic counters.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -41,6 +41,8 @@
 	// Probe, unless nil, asks a server of a pool how long it stays cold, and gives the
 	// answer to Probed. It must not block, and must be set before the first request.
 	Probe func(pool string, server topo.ServerID)
+	// Stats counts the decisions.
+	Stats Stats
 
 	// wake tells Run that a request was queued.
 	wake chan struct{}
@@ -84,6 +86,7 @@
 	b.probe(name, d)
 	if d.Verdict != permit.Queued {
 		b.mu.Unlock()
+		b.Stats.record(r.Priority, d)
 		return d, true
 	}
 	ch := make(chan permit.Decision, 1)
@@ -96,9 +99,11 @@
 	}
 	select {
 	case d = <-ch:
+		b.Stats.record(r.Priority, d)
 		return d, true
 	case <-ctx.Done():
 		b.cancel(name, r.ID)
+		b.Stats.withdraw(r.Priority, clock.Boot().Sub(now))
 		return permit.Decision{}, false
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -207,6 +207,7 @@
 	n.metrics.Gauge("home_waiting", func() float64 { w, _ := n.broker.Depth(); return float64(w) })
 	n.metrics.Gauge("home_held_bytes", func() float64 { return float64(n.broker.HeldBytes()) })
 	n.metrics.Gauge("home_running", func() float64 { _, r := n.broker.Depth(); return float64(r) })
+	registerSlotMetrics(n.metrics, &n.broker.Stats, &n.fallback.Stats)
 }
 
 // leaseYieldDelay returns how long a VM waits before it tries to acquire a free
--- a/node/pools.go
+++ b/node/pools.go
@@ -1,8 +1,12 @@
 package node
 
 import (
+	"fmt"
+
+	"godwitlock.example/godwitlock/broker"
 	"godwitlock.example/godwitlock/directory"
 	"godwitlock.example/godwitlock/health"
+	"godwitlock.example/godwitlock/metric"
 	"godwitlock.example/godwitlock/permit"
 	"godwitlock.example/godwitlock/topo"
 	"godwitlock.example/godwitlock/view"
@@ -41,6 +45,34 @@
 		Float64("failure_share", state.FailureShare).Send()
 }
 
+// registerSlotMetrics registers the counts of decisions on slots, summed over the brokers
+// of the VM: as the home of pools, and in place of homes that do not answer.
+func registerSlotMetrics(set *metric.Set, brokers ...*broker.Stats) {
+	sum := func(read func(*broker.Stats) float64) func() float64 {
+		return func() float64 {
+			total := 0.0
+			for _, s := range brokers {
+				total += read(s)
+			}
+			return total
+		}
+	}
+	for row := range broker.Priorities {
+		priority := broker.PriorityLabel(row)
+		for c := permit.NoServer; int(c) < permit.Causes; c++ {
+			set.Gauge(fmt.Sprintf("slot_refusals_total{cause=%q,priority=%q}", c, priority),
+				sum(func(s *broker.Stats) float64 { return float64(s.Refusals(row, c)) }))
+		}
+		for o := range broker.Outcome(broker.Outcomes) {
+			labels := fmt.Sprintf("{outcome=%q,priority=%q}", o, priority)
+			set.Gauge("slot_wait_seconds_count"+labels, sum(func(s *broker.Stats) float64 { n, _ := s.Waits(row, o); return float64(n) }))
+			set.Gauge("slot_wait_seconds_sum"+labels, sum(func(s *broker.Stats) float64 { _, d := s.Waits(row, o); return d.Seconds() }))
+		}
+		set.Gauge(fmt.Sprintf("slot_late_starts_total{priority=%q}", priority),
+			sum(func(s *broker.Stats) float64 { return float64(s.LateStarts(row)) }))
+	}
+}
+
 func permitServer(snap *view.Snapshot, s *directory.Server) permit.Server {
 	out := permit.Server{ID: s.ID, DataCentre: s.DataCentre, Slots: s.Slots, ColdUntil: s.SeenAt.Add(s.ColdFor)}
 	if svc := snap.Routes.Service(s.Service); svc != nil {
