fleet, forward: the cause of a refused slot reaches the sender's decision log

Cause: the event refused said only that no slot was granted in a pool.

Change: AcquireResponse has cause, empty from home VMs of earlier versions; unknown names are ignored. The event refused has the field cause if the last request for a slot was refused with one.

--- a/fleet/server.go
+++ b/fleet/server.go
@@ -93,9 +93,7 @@
 		return nil, status.FromContextError(ctx.Err()).Err()
 	}
 	if d.Verdict != permit.Granted {
-		return &fleetpb.AcquireResponse{
-			Verdict: fleetpb.AcquireResponse_REFUSED, RetryAfterMs: d.RetryAfter.Milliseconds(),
-		}, nil
+		return refusedResponse(d), nil
 	}
 	if ctx.Err() != nil {
 		s.broker.Finish(req.GetPool(), d.ID, permit.Result{})
@@ -106,6 +104,13 @@
 	}, nil
 }
 
+// refusedResponse returns the response that tells another VM of a refusal.
+func refusedResponse(d permit.Decision) *fleetpb.AcquireResponse {
+	return &fleetpb.AcquireResponse{
+		Verdict: fleetpb.AcquireResponse_REFUSED, RetryAfterMs: d.RetryAfter.Milliseconds(), Cause: d.Cause.String(),
+	}
+}
+
 // permitRequest returns the request of another VM. VMs of earlier versions send neither
 // the work nor the times by which the response is due.
 func permitRequest(now time.Time, req *fleetpb.AcquireRequest) permit.Request {
--- a/fleet/slots.go
+++ b/fleet/slots.go
@@ -134,11 +134,18 @@
 		slot := remoteSlot{client: client, vm: s.self, pool: pool, id: resp.GetPermit()}
 		return slot, permit.Decision{Verdict: permit.Granted, Server: topo.ServerID(resp.GetServer())}, nil
 	case fleetpb.AcquireResponse_REFUSED:
-		return nil, permit.Decision{Verdict: permit.Refused, RetryAfter: millis(resp.GetRetryAfterMs())}, nil
+		return nil, refusalOf(resp), nil
 	}
 	return nil, permit.Decision{}, errors.Errorf("VM at %s neither granted nor refused a slot of pool %s", addr, pool)
 }
 
+// refusalOf returns the decision of a home VM that refused a slot.
+func refusalOf(resp *fleetpb.AcquireResponse) permit.Decision {
+	return permit.Decision{
+		Verdict: permit.Refused, RetryAfter: millis(resp.GetRetryAfterMs()), Cause: permit.ParseCause(resp.GetCause()),
+	}
+}
+
 // ping probes a VM with a Finish call that releases nothing.
 func (s *Slots) ping(ctx context.Context, addr string) error {
 	conn, err := s.peers.Conn(addr)
--- a/forward/acquire.go
+++ b/forward/acquire.go
@@ -39,6 +39,7 @@
 var errTryAgain = &refusal{}
 
 func (f *Forwarder) tryAcquireServer(ctx context.Context, r *request, newOwnerOnly bool) (grantedServer, *refusal) {
+	r.slotRefusal = permit.NoCause
 	if !r.service.Keyed {
 		return f.acquireUnpaused(ctx, f.View.Snapshot(), r, "")
 	}
@@ -140,6 +141,7 @@
 	if slot != nil {
 		slot = measuredSlot{slot, f.Work, r.route.Name}
 	}
+	r.slotRefusal = d.Cause
 	if d.Verdict != permit.Granted {
 		reason := "no slot granted in pool " + pool
 		if ctx.Err() != nil {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -191,6 +191,8 @@
 	late bool
 	// returned says that the caller seems to have been refused before.
 	returned bool
+	// slotRefusal is why the last request for a slot was refused.
+	slotRefusal permit.Cause
 }
 
 // Serve answers a request. The context must end when the caller disconnects.
@@ -324,6 +326,9 @@
 	}
 	e := f.event("refused", r).Str("kind", row.Name).Int("status", row.Status).Str("reason", reason).
 		Str("stage", r.Progress.Stage().String()).Dur("retry_after_ms", retryAfter).Dur("took_ms", time.Since(r.Arrived))
+	if r.slotRefusal != permit.NoCause {
+		e.Str("cause", r.slotRefusal.String())
+	}
 	if confirmed := f.View.Confirmed(); !confirmed.IsZero() {
 		e.Dur("config_age_ms", clock.Boot().Sub(confirmed))
 	}
