--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -177,8 +177,8 @@
 }
 
 // minCanaries is the least number of servers of the target that get requests. With
-// fewer, one bad host could not be told from a bad version.
-const minCanaries = 3
+// fewer, slow hosts could not be told from a slow version.
+const minCanaries = 6
 
 // Canaries returns how many of n servers of the target get requests at a share of all
 // requests: so many that each has as much to do as a server has at full share.
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -13,10 +13,13 @@
 // one before by the square root of two, the first one begins at 1 ms.
 const TimeBuckets = 32
 
-// slowBuckets is how many classes above the median of the other versions a response is
-// slow: 2.4 times the median or more. Servers whose speed is 0.6 to 2 times the usual
-// one are below it.
-const slowBuckets = 3
+// slowBuckets is how many classes above the usual one a response is slow: 2.8 to 4 times
+// the usual time or more. The usual time is the one that usualPart of the responses do not
+// exceed; a version of which half of the responses are slow has the same as others.
+const (
+	slowBuckets = 4
+	usualPart   = 0.3
+)
 
 // Bucket returns the class of a service time.
 func Bucket(d time.Duration) int {
@@ -123,7 +126,8 @@
 // Finding is what the evidence shows at one moment.
 type Finding struct {
 	// Bad says that the target is worse than the other versions, with an error of at
-	// most FalseAlarm over the whole roll-out. Cause says in which way.
+	// most FalseAlarm over the whole roll-out, or that it is likely to be and has had
+	// many bad responses. Cause says in which way.
 	Bad   bool
 	Cause Cause
 	// Strength is the logarithm of the likelihood ratio of the stronger test, and
@@ -148,9 +152,13 @@
 	// maxFailures is the excess of failures from which they count even if a single
 	// server had them all. The limit on exposure counts from the 50th.
 	maxFailures = 25
+	// maxExcess is the excess of bad responses from which a strength of excessStrength is
+	// enough: the time that is left after the 50th bad response is too short for more
+	// certainty.
+	maxExcess, excessStrength = 40, 8
 	// tests is the number of tests made on each set of windows: failures without and
-	// with the worst server, and slow responses, each for all ratios.
-	tests = 3
+	// with the worst server, and slow responses by both usual times, each for all ratios.
+	tests = 4
 )
 
 // ratios are the rates of bad responses, relative to the other versions, for which
@@ -172,68 +180,98 @@
 // A server may be bad on its own, because it is cold or its host is noisy. Failures
 // of the worst server, and slow responses of the worst third of the servers, do not
 // count, except that failures count in any case from maxFailures on.
+//
+// A response is slow relative to the usual time on its route. Against a version that is
+// slow as a whole, this is the time of the others; because servers differ in speed by a
+// factor of three, the rate of slow responses must then be more than twice as high.
+// Against a version of which a part of the responses is slow, it is that of the same
+// server.
 func (e *Evidence) Judge() Finding {
 	f := Finding{Limit: math.Log(float64(max(1, len(e.windows))) * tests * float64(len(ratios)) / FalseAlarm)}
-	thresholds := e.slowThresholds()
-	bad := func(_ string, c *counts) (int, int) { return c.bad, c.answers }
-	slow := func(route string, c *counts) (int, int) {
-		n, total := 0, 0
-		for i, k := range c.times {
-			total += k
-			if i >= thresholds[route] {
-				n += k
-			}
-		}
-		return n, total
-	}
-	badTotals, slowTotals := e.totals(bad), e.totals(slow)
+	bad := func(_ string, _ topo.ServerID, c *counts) (int, int) { return c.bad, c.answers }
+	slow := slowerThan(e.usual(false))
+	slowPart := slowerThan(e.usual(true))
+	badTotals, slowTotals, partTotals := e.totals(bad), e.totals(slow), e.totals(slowPart)
 	f.TargetBad, f.TargetAnswers, f.OtherBad, f.OtherAnswers = badTotals.targetBad, badTotals.target, badTotals.othersBad, badTotals.others
 	f.TargetSlow, f.OtherSlow = slowTotals.targetBad, slowTotals.othersBad
 
-	failures := e.strength(bad, badTotals.worst(1), true)
-	if all := e.strength(bad, nil, true); f.excessFailures() >= maxFailures {
+	failures := e.strength(test{measure: bad, without: badTotals.worst(1), allowed: 1, earlier: true})
+	if all := e.strength(test{measure: bad, allowed: 1, earlier: true}); f.excess(Failures) >= maxFailures {
 		failures = max(failures, all)
 	}
-	slowness := e.strength(slow, slowTotals.worst((len(slowTotals.byServer)+2)/3), false)
+	slowness := max(
+		e.strength(test{measure: slow, without: slowTotals.worstThird(), allowed: allowedSlowRatio, floor: minSlowRate}),
+		e.strength(test{measure: slowPart, without: partTotals.worstThird(), allowed: 1, floor: minSlowRate}),
+	)
 	f.Strength, f.Cause = failures, Failures
 	if slowness > failures {
 		f.Strength, f.Cause = slowness, Slow
 	}
-	f.Bad = f.Strength >= f.Limit
+	f.Bad = f.Strength >= f.Limit || f.Strength >= excessStrength && f.excess(f.Cause) >= maxExcess
 	f.Enough = f.TargetAnswers >= minAnswers && e.mainRoutesSeen(f.OtherAnswers)
 	return f
 }
 
-// excessFailures returns by how much the failures of the target exceed those that it
-// would have at the rate of the others.
-func (f *Finding) excessFailures() float64 {
+const (
+	// allowedSlowRatio is how much more often responses of the target may be slow
+	// because its servers are slower hosts.
+	allowedSlowRatio = 2
+	// minSlowRate is the rate of slow responses that the others are taken to have at
+	// least.
+	minSlowRate = 0.04
+	// minUsual is the number of responses from which a server has a usual time of its own.
+	minUsual = 5
+)
+
+// excess returns by how much the failures or the slow responses of the target exceed
+// those that it would have at the rate of the others.
+func (f *Finding) excess(c Cause) float64 {
 	if f.OtherAnswers == 0 {
 		return 0
 	}
-	return float64(f.TargetBad) - float64(f.TargetAnswers)*float64(f.OtherBad)/float64(f.OtherAnswers)
+	target, others := f.TargetBad, f.OtherBad
+	if c == Slow {
+		target, others = f.TargetSlow, f.OtherSlow
+	}
+	return float64(target) - float64(f.TargetAnswers)*float64(others)/float64(f.OtherAnswers)
 }
 
-// slowThresholds returns the class from which a response of a route is slow.
-func (e *Evidence) slowThresholds() map[string]int {
-	sums := make(map[string]*counts)
+// usualOf identifies the responses of a server of the target, or of all others, on a
+// route.
+type usualOf struct {
+	route  string
+	server topo.ServerID
+}
+
+// usual returns the classes of the usual service times. If own is false, servers of the
+// target have that of the others.
+func (e *Evidence) usual(own bool) map[usualOf]int {
+	sums := make(map[usualOf]*counts)
+	add := func(id usualOf, c *counts) {
+		if sums[id] == nil {
+			sums[id] = &counts{}
+		}
+		sums[id].add(Cell{Times: c.times})
+	}
 	for _, w := range e.windows {
 		for route, r := range w.routes {
-			if sums[route] == nil {
-				sums[route] = &counts{}
+			add(usualOf{route: route}, &r.others)
+			for server, c := range r.target {
+				if own {
+					add(usualOf{route, server}, c)
+				}
 			}
-			sums[route].add(Cell{Times: r.others.times})
 		}
 	}
-	out := make(map[string]int, len(sums))
-	for route, c := range sums {
+	out := make(map[usualOf]int, len(sums))
+	for id, c := range sums {
 		total, below := 0, 0
 		for _, n := range c.times {
 			total += n
 		}
-		out[route] = TimeBuckets
 		for i, n := range c.times {
-			if below += n; total > 0 && 2*below >= total {
-				out[route] = i + slowBuckets
+			if below += n; total >= minUsual && float64(below) >= usualPart*float64(total) {
+				out[id] = i
 				break
 			}
 		}
@@ -241,8 +279,26 @@
 	return out
 }
 
-// measure returns the number of bad responses of counts on a route, and of all.
-type measure func(route string, c *counts) (bad, total int)
+// slowerThan returns the measure of responses that are slow relative to usual times.
+func slowerThan(usual map[usualOf]int) measure {
+	return func(route string, server topo.ServerID, c *counts) (slow, total int) {
+		class, known := usual[usualOf{route, server}]
+		if !known {
+			class, known = usual[usualOf{route: route}]
+		}
+		for i, n := range c.times {
+			total += n
+			if known && i >= class+slowBuckets {
+				slow += n
+			}
+		}
+		return slow, total
+	}
+}
+
+// measure returns the number of bad responses of counts of a server, empty for all
+// others, on a route, and of all.
+type measure func(route string, server topo.ServerID, c *counts) (bad, total int)
 
 type totals struct {
 	target, targetBad, others, othersBad int
@@ -253,10 +309,10 @@
 	t := totals{byServer: make(map[topo.ServerID]int)}
 	for _, w := range e.windows {
 		for route, r := range w.routes {
-			bad, n := m(route, &r.others)
+			bad, n := m(route, "", &r.others)
 			t.others, t.othersBad = t.others+n, t.othersBad+bad
 			for id, c := range r.target {
-				bad, n := m(route, c)
+				bad, n := m(route, id, c)
 				t.target, t.targetBad = t.target+n, t.targetBad+bad
 				if n > 0 {
 					t.byServer[id] += bad
@@ -283,21 +339,36 @@
 	return out
 }
 
-// strength returns the greatest logarithm of the likelihood ratio over all numbers of
-// last windows, without the given servers. If earlier is true, windows in which the
-// target had all requests of a route are compared with the windows before them.
-func (e *Evidence) strength(m measure, without map[topo.ServerID]bool, earlier bool) float64 {
+// worstThird returns the worst third of the servers, but leaves one out.
+func (t totals) worstThird() map[topo.ServerID]bool { return t.worst((len(t.byServer) + 2) / 3) }
+
+// test is one way to compare the target with the others.
+type test struct {
+	measure measure
+	// without holds servers of the target that do not count.
+	without map[topo.ServerID]bool
+	// allowed is the ratio of the rates of bad responses up to which the target is not
+	// worse. floor is the rate that the others are taken to have at least.
+	allowed, floor float64
+	// earlier says that windows in which the target had all requests of a route are
+	// compared with the windows before them.
+	earlier bool
+}
+
+// strength returns the greatest logarithm of the likelihood ratio of a test over all
+// numbers of last windows.
+func (e *Evidence) strength(t test) float64 {
 	terms := make([][len(ratios)]float64, len(e.windows))
 	recent := make(map[string]*recentRate)
 	for i, w := range e.windows {
 		for route, r := range w.routes {
-			othersBad, others := m(route, &r.others)
+			othersBad, others := t.measure(route, "", &r.others)
 			targetBad, target := 0, 0
 			for id, c := range r.target {
-				if without[id] {
+				if t.without[id] {
 					continue
 				}
-				bad, n := m(route, c)
+				bad, n := t.measure(route, id, c)
 				targetBad, target = targetBad+bad, target+n
 			}
 			if recent[route] == nil {
@@ -308,11 +379,12 @@
 			}
 			for j, ratio := range ratios {
 				switch {
-				case target == 0:
+				case target == 0 || ratio <= t.allowed:
 				case others > 0:
-					expected := (float64(others) + ratio*float64(target)) / float64(others+target)
-					terms[i][j] += float64(targetBad)*math.Log(ratio) - float64(targetBad+othersBad)*math.Log(expected)
-				case earlier && recent[route].n > 0:
+					all := float64(targetBad) + max(float64(othersBad), t.floor*float64(others))
+					expected := (float64(others) + ratio*float64(target)) / (float64(others) + t.allowed*float64(target))
+					terms[i][j] += float64(targetBad)*math.Log(ratio/t.allowed) - all*math.Log(expected)
+				case t.earlier && recent[route].n > 0:
 					terms[i][j] += float64(targetBad)*math.Log(ratio) - float64(target)*recent[route].upper()*(ratio-1)
 				}
 			}
