ingress: a caller that does not read does not hold a server's connection

Cause: a streamed answer in its turn was read from the server as fast as its caller read it, so a caller that stopped held the server's connection and slot for 5 s.

Change: when the writer has waited for its caller at one of the checks, every 50 ms, the rest is read ahead into the buffer of 64 KiB, which is accounted for, and the connection is free if it fits. A longer one must be read at minResponseBytesPerS, as before.

Measured: TestAnswerIsReadFromItsServerWithoutItsCaller fails without it.

--- a/ingress/memory_test.go
+++ b/ingress/memory_test.go
@@ -356,3 +356,36 @@
 		}
 	})
 }
+
+// Guards against a connection to a server that is held while a caller does not read an
+// answer of a size that can be kept for it.
+func TestAnswerIsReadFromItsServerWithoutItsCaller(t *testing.T) {
+	for _, length := range []int{20_000, maxReadAheadBytes - 1} {
+		synctest.Test(t, func(t *testing.T) {
+			lis := pipe.Listen()
+			defer func() { _ = lis.Close() }()
+			source := &closingReader{Reader: strings.NewReader(strings.Repeat("x", length))}
+			s := NewServer(testHeaders, func(context.Context, *Request) *Response {
+				return &Response{Status: 200, Stream: source, Length: int64(length)}
+			}, func() Limits { return Limits{} })
+			go func() { _ = s.Serve(lis) }()
+			nc, err := lis.Dial(t.Context(), "", "")
+			require.NoError(t, err)
+			send(t, nc, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			time.Sleep(2 * takeoverInterval)
+			require.True(t, source.closed.Load())
+			_, body := receive(t, bufio.NewReader(nc))
+			require.Len(t, body, length)
+			_ = nc.Close()
+		})
+	}
+}
+
+// closingReader is the body of a server's answer.
+type closingReader struct {
+	io.Reader
+	closed atomic.Bool
+}
+
+// Close implements io.Closer.
+func (r *closingReader) Close() error { r.closed.Store(true); return nil }
--- a/ingress/write.go
+++ b/ingress/write.go
@@ -83,6 +83,9 @@
 	if p.method == http.MethodHead || resp.Status == http.StatusNoContent || resp.Status == http.StatusNotModified {
 		return bw.Flush()
 	}
+	if resp.Stream != nil {
+		resp.Stream = newTakeover(resp.Stream, c)
+	}
 	switch {
 	case resp.Stream == nil:
 		_, _ = bw.Write(resp.Body)
