--- a/membudget/membudget.go
+++ b/membudget/membudget.go
@@ -173,8 +173,9 @@
 	// for callers. Garbage between two collections and the fragmentation of the
 	// heap need the rest.
 	callerShare = 0.5
-	// minLimit keeps a VM with very little memory at work.
-	minLimit = 4 << 20
+	// minCollectorLimit and minCallerLimit keep a VM with very little memory at work: a
+	// lower limit would make the collector run all the time.
+	minCollectorLimit, minCallerLimit = 24 << 20, 4 << 20
 )
 
 // CollectorLimit returns the memory limit of the garbage collector of a process on a VM
@@ -183,7 +184,7 @@
 	if vmBytes <= 0 {
 		return 0
 	}
-	return max(minLimit, int64(collectorShare*float64(vmBytes-programBytes)))
+	return max(minCollectorLimit, int64(collectorShare*float64(vmBytes-programBytes)))
 }
 
 // CallerLimit returns the size of the budget of a process on a VM with the given memory,
@@ -192,7 +193,7 @@
 	if vmBytes <= 0 {
 		return 0
 	}
-	return max(minLimit, int64(callerShare*float64(CollectorLimit(vmBytes)-ownBytes)))
+	return max(minCallerLimit, int64(callerShare*float64(CollectorLimit(vmBytes)-ownBytes)))
 }
 
 const (
--- a/node/memory.go
+++ b/node/memory.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"time"
 
-	"godwitlock.example/godwitlock/clock"
 	"godwitlock.example/godwitlock/membudget"
 )
 
@@ -44,8 +43,8 @@
 	since, until time.Time
 }
 
-func (l *memoryLog) tick(n *Node) {
-	now, counts := clock.Boot(), n.memoryRefusals()
+func (l *memoryLog) tick(n *Node, now time.Time) {
+	counts := n.memoryRefusals()
 	switch {
 	case counts != l.last && l.since.IsZero():
 		l.since, l.until, l.before = now, now, l.last
--- a/node/node.go
+++ b/node/node.go
@@ -371,7 +371,7 @@
 		n.egress.Sweep()
 		n.updateCallerBound()
 		conns.tick(n)
-		memory.tick(n)
+		memory.tick(n, clock.Boot())
 		n.storeCalls.logCounts(n.log)
 	}
 	return ctx.Err()
