--- a/ingress/write.go
+++ b/ingress/write.go
@@ -87,6 +87,9 @@
 	if !hasBody(p, resp) {
 		return bw.Flush()
 	}
+	if resp.Stream != nil {
+		resp.Stream = newTakeover(resp.Stream, c)
+	}
 	switch {
 	case resp.Stream == nil:
 		_, _ = bw.Write(resp.Body)
--- a/ownership/single_key_test.go
+++ b/ownership/single_key_test.go
@@ -69,7 +69,7 @@
 				n.endTerm(now)
 				m = New(now, stored, version, 10*time.Second, settled)
 			case 60:
-				n.restart(rapid.SampledFrom([]topo.ServerID{"a", "b"}).Draw(t, "restarts"))
+				n.restart(rapid.SampledFrom([]topo.ServerID{"a", "b"}).Draw(t, "restarts"), now)
 			case 61, 62:
 				n.register()
 			}
