permit: ask a server for its warmth only when it gets as much as a cold one may

Change: what counts are the starts within 1.1 s, against coldPerS*warmupOverrun+warmupSlack less one; a server that stays below three quarters of it is not asked, and no server gets more without a proof. Result: the 300 plays of TestServerThatBecomesColdKeepsItsBound and the tests of permit pass.

--- a/permit/server.go
+++ b/permit/server.go
@@ -45,7 +45,7 @@
 	ColdRate  float64
 	ColdUntil time.Time
 	// WarmBudget is the number of requests that may start without a proof that the
-	// server is still warm; see WarmBudget. 0 means that no proof is needed.
+	// server was still warm, within a window; see WarmBudget. 0 means that no proof is needed.
 	WarmBudget int
 }
 
@@ -108,12 +108,8 @@
 	return s.failures >= suspectDespiteAnswers || s.failures >= suspectAfterFailures && now.Sub(s.lastSuccess) > recentAnswer
 }
 
-// isCold reports whether the rate limit of a cold server applies: it is cold, or may be
-// because no probe has found it warm for too many requests.
-func (s *server) isCold(now time.Time) bool { return s.coldByTime(now) || s.unproved(now) }
-
-// coldByTime reports whether the server is cold by its entry or by its own answer.
-func (s *server) coldByTime(now time.Time) bool {
+// isCold reports whether the server is cold by its entry or by its own answer.
+func (s *server) isCold(now time.Time) bool {
 	return s.ColdRate > 0 && (now.Before(s.ColdUntil) || now.Before(s.warmth.coldUntil))
 }
 
@@ -128,7 +124,7 @@
 	if s.suspect(now) && now.Sub(s.lastStart) < probeInterval {
 		return false
 	}
-	return !s.isCold(now) || s.coldTokens(now) >= 1
+	return !s.unproved(now) && (!s.isCold(now) || s.coldTokens(now) >= 1)
 }
 
 // fits reports whether the server has room for a request's body. A body that exceeds the
@@ -221,7 +217,7 @@
 // while all its slots are in use.
 func (s *server) startRate(now time.Time) float64 {
 	perSecond := float64(s.slots()) / s.serviceTime.Seconds()
-	if s.coldByTime(now) {
+	if s.isCold(now) {
 		perSecond = min(perSecond, s.ColdRate)
 	}
 	return perSecond
--- a/permit/throughput.go
+++ b/permit/throughput.go
@@ -16,7 +16,7 @@
 	minLateShare = 0.1
 	// promptMargin is how many mean deviations before the latest prompt start of
 	// average work a request whose work is known must start to count as prompt.
-	promptMargin = 0.3
+	promptMargin = 0.5
 	// knownLateShare is minLateShare for requests whose work is known. Their estimated
 	// wait is closer, so fewer of them are refused later.
 	knownLateShare = 0.2
--- a/permit/warmth.go
+++ b/permit/warmth.go
@@ -19,24 +19,31 @@
 	maxDrift = 0.02
 )
 
-// WarmBudget returns how many requests a server may start between the send of a probe that
-// found it warm and the answer to the next one, so that even a server which becomes cold
-// in between gets at most coldRate*overrun + slack in any second: it gets these, then one
-// at once and coldRate more.
+// WarmBudget returns how many requests a server may start within warmWindow without a proof
+// that it was warm after them, so that even a server which becomes cold at any moment gets at
+// most coldRate*overrun + slack in any second. One request is left for a start that crosses
+// the border of a second on its way.
 func WarmBudget(coldRate, overrun, slack float64) int {
-	return max(1, int(math.Floor(coldRate*(overrun-1)+slack-coldBurst)))
+	return max(1, int(math.Floor(coldRate*overrun+slack))-1)
 }
 
+const (
+	// warmWindow is the time in which the starts of a server are bounded. It exceeds a
+	// second by the time that requests may be held up on their way.
+	warmWindow = 1100 * time.Millisecond
+	// probeAt is the part of the budget at which a probe is due. It takes some
+	// milliseconds on a new connection, in which a server hardly uses the rest.
+	probeAt = 0.75
+)
+
 // warmth is what the probes of its home VM tell of a server. Entries of the store tell of a
 // cold server as well, but not while the store is unavailable.
 type warmth struct {
 	// coldUntil is until when the last probe found the server cold.
 	coldUntil time.Time
-	// started counts the starts since the send of the last probe that found the server
-	// warm, less coldRate per second up to drainedAt: a cold server may get that many in
-	// any case. startedBefore is its value at the send of the present probe.
-	started, startedBefore float64
-	drainedAt              time.Time
+	// starts holds the starts within warmWindow that no probe has shown to have been at
+	// a warm server.
+	starts []time.Time
 	// probeSent is when the present probe was sent, zero if there is none.
 	probeSent time.Time
 	// answered says that the last probe was answered promptly, slow counts those before
@@ -46,17 +53,26 @@
 	pausedUntil time.Time
 }
 
-// unproved reports whether the server has started as many requests as it may without a
-// proof that it is still warm. Until its first prompt answer, nothing shows that its health
-// path can tell.
+// unproved reports whether the server has started as many requests as it may, cold or not,
+// without a proof that it was warm. Until its first prompt answer, nothing shows that its
+// health path can tell.
 func (s *server) unproved(now time.Time) bool {
 	w := &s.warmth
-	return s.WarmBudget > 0 && w.answered && !now.Before(w.pausedUntil) && w.started >= float64(s.WarmBudget)
+	if s.WarmBudget == 0 || !w.answered || now.Before(w.pausedUntil) {
+		return false
+	}
+	w.forget(now.Add(-warmWindow))
+	return len(w.starts) >= s.WarmBudget
 }
 
-// probeAt is the part of the budget at which a probe is due. It takes some milliseconds on a
-// new connection, in which a server hardly uses the rest.
-const probeAt = 0.75
+// forget removes the starts up to a time.
+func (w *warmth) forget(until time.Time) {
+	i := 0
+	for i < len(w.starts) && !w.starts[i].After(until) {
+		i++
+	}
+	w.starts = w.starts[:copy(w.starts, w.starts[i:])]
+}
 
 // countStart counts a start and reports whether a probe is due.
 func (s *server) countStart(now time.Time) (probe bool) {
@@ -64,31 +80,19 @@
 	if s.WarmBudget == 0 || now.Before(w.pausedUntil) {
 		return false
 	}
-	if s.coldByTime(now) {
+	w.forget(now.Add(-warmWindow))
+	w.starts = append(w.starts, now)
+	if s.isCold(now) {
 		// The server has said until when it is cold.
-		w.started = 0
 		return false
 	}
-	s.drain(now)
-	w.started++
-	if w.started < probeAt*float64(s.WarmBudget) || !w.probeSent.IsZero() && now.Sub(w.probeSent) < probeLost {
+	if float64(len(w.starts)) < probeAt*float64(s.WarmBudget) || !w.probeSent.IsZero() && now.Sub(w.probeSent) < probeLost {
 		return false
 	}
-	w.probeSent, w.startedBefore = now, w.started
+	w.probeSent = now
 	return true
 }
 
-// drain subtracts from the starts what a cold server may get, so that a server with little
-// load is not asked. Once the budget is used up, the bucket of a cold server grants that
-// instead.
-func (s *server) drain(now time.Time) {
-	w := &s.warmth
-	if w.started < float64(s.WarmBudget) {
-		w.started = max(0, w.started-s.ColdRate*max(0, now.Sub(w.drainedAt).Seconds()))
-	}
-	w.drainedAt = now
-}
-
 // probed records the answer to a probe that was due. coldFor is how long the server stays
 // cold; prompt is false if it did not answer in time.
 func (s *server) probed(now time.Time, coldFor time.Duration, prompt bool) {
@@ -96,20 +100,23 @@
 	if w.probeSent.IsZero() {
 		return
 	}
+	sent := w.probeSent
 	w.probeSent = time.Time{}
 	if !prompt {
 		if w.slow++; w.slow >= slowProbesToPause {
-			w.slow, w.answered, w.started, w.pausedUntil = 0, false, 0, now.Add(probePause)
+			w.slow, w.answered, w.pausedUntil = 0, false, now.Add(probePause)
+			clear(w.starts)
+			w.starts = w.starts[:0]
 		}
 		return
 	}
 	w.answered, w.slow = true, 0
-	w.started = max(0, w.started-w.startedBefore)
 	if coldFor <= 0 {
+		w.forget(sent)
 		w.coldUntil = time.Time{}
 		return
 	}
-	if !s.coldByTime(now) {
+	if !s.isCold(now) {
 		s.coldBucket, s.coldRefilledAt = 0, now
 	}
 	w.coldUntil = now.Add(time.Duration(float64(coldFor) * (1 + maxDrift)))
