permit: test that latest starts follow the slowness of the servers

Cause: TestLatestPromptStartFollowsTheSlowness also passed when the latest starts ignored the slowness, since the estimated wait depends on it too.

Change: a second test, of the latest starts themselves and of a request that is late only on slow servers. The first one stays as it is.

--- a/permit/known_test.go
+++ b/permit/known_test.go
@@ -76,6 +76,27 @@
 	require.InDelta(t, 2, slow, 1, "prompt requests that take 300 ms")
 }
 
+// Guards against latest starts for servers of usual speed: on servers that are three times
+// slower, a response of 100 ms takes 300 ms, which has to fit into the objective.
+func TestLatestStartsUseTheSlowness(t *testing.T) {
+	for slowness, prompt := range map[time.Duration]int{1: 1, 3: 0} {
+		p := newPool(Server{ID: "s", Slots: 1})
+		for id := range uint64(200) {
+			p.Offer(start, known(id, start, "r", 100*time.Millisecond, time.Second, 4*time.Second))
+			p.Finish(start, id, Result{ServiceTime: slowness * 100 * time.Millisecond})
+		}
+		fill(t, p, 1)
+		now := start.Add(sweepInterval)
+		p.measure(now)
+		r := known(1, now, "r", 100*time.Millisecond, 350*time.Millisecond, 4*time.Second)
+		promptBy, startBy := p.latestStarts(r)
+		require.WithinDuration(t, r.ObjectiveBy.Add(-slowness*100*time.Millisecond), promptBy, time.Millisecond)
+		require.WithinDuration(t, r.AnswerBy.Add(-slowness*100*time.Millisecond), startBy, time.Millisecond)
+		require.Equal(t, Queued, p.Offer(now, r).Verdict)
+		require.Equal(t, prompt, p.queue.rank(false, 1).waiting, "slowness %d", slowness)
+	}
+}
+
 // Guards against a long request that makes several short ones late when not all of them
 // can be on time.
 func TestMostWorkIsPutLast(t *testing.T) {
