--- a/permit/pool.go
+++ b/permit/pool.go
@@ -86,19 +86,19 @@
 type Decision struct {
 	ID      uint64
 	Verdict Verdict
-	// Server is the server whose slot was granted.
-	Server topo.ServerID
+	// Cause tells why the request was refused.
+	Cause Cause
+	// Late says that a granted request starts after its latest prompt start.
+	Late bool
 	// Probe says that the server is to be asked now how long it stays cold. The answer
 	// is given to Pool.Probed.
 	Probe bool
+	// Server is the server whose slot was granted.
+	Server topo.ServerID
 	// RetryAfter is the delay after which a refused caller should retry.
 	RetryAfter time.Duration
-	// Cause tells why the request was refused.
-	Cause Cause
 	// Waited is the time that a granted or refused request was queued.
 	Waited time.Duration
-	// Late says that a granted request starts after its latest prompt start.
-	Late bool
 }
 
 // Result describes how a granted request ended.
