permit: a cold server keeps its bound on both sides of a cut

Cause: both sides of a cut may have a home VM for a server, each granting the full rate of a cold one, and each VM that reached no home granted a quarter of it on its own. Change: a home VM grants at most half of the bound (coldPerS x warmupOverrun + warmupSlack) less its burst; a VM that stands in for the home VMs does not use a cold server and refuses at once. Cost: 15.75 instead of 19 requests a second with coldPerS 19 and warmupSlack 5, none with 5.2 and 8 or 3.8 and 5; requests for keys of a cold server are refused while no home VM answers.

--- a/node/pools.go
+++ b/node/pools.go
@@ -17,6 +17,9 @@
 	out := make([]permit.Server, 0, len(list))
 	for _, s := range list {
 		e := permitServer(snap, s)
+		if b := n.bounds(); e.ColdRate > 0 && b.ColdSlack > 0 {
+			e.ColdRate = permit.HomeColdRate(e.ColdRate, b.ColdOverrun, b.ColdSlack)
+		}
 		e.WarmBudget = n.warmBudget(snap, s.Service)
 		out = append(out, e)
 	}
--- a/permit/pool.go
+++ b/permit/pool.go
@@ -142,7 +142,9 @@
 			s.update(e)
 			continue
 		}
-		p.servers[e.ID] = newServer(e, now)
+		added := newServer(e, now)
+		added.standIn = p.slotDivisor > 1
+		p.servers[e.ID] = added
 	}
 	for id, s := range p.servers {
 		if !keep[id] {
--- a/permit/server.go
+++ b/permit/server.go
@@ -68,6 +68,8 @@
 	coldBucket     float64
 	coldRefilledAt time.Time
 	warmth         warmth
+	// standIn says that this VM stands in for a home VM that does not answer.
+	standIn bool
 }
 
 func newServer(s Server, now time.Time) *server {
@@ -106,9 +108,13 @@
 	if s.failures >= suspectAfterFailures && now.Sub(s.lastStart) < probeInterval {
 		return false
 	}
-	return !s.isCold(now) || s.coldTokens(now) >= 1
+	return !s.isCold(now) || !s.barred(now) && s.coldTokens(now) >= 1
 }
 
+// barred reports whether the server is cold and this VM must not use it: as many VMs may
+// stand in for its home VM as there are, and each request counts.
+func (s *server) barred(now time.Time) bool { return s.standIn && s.coldByTime(now) }
+
 func (s *server) coldTokens(now time.Time) float64 {
 	return min(coldBurst, s.coldBucket+s.ColdRate*max(0, now.Sub(s.coldRefilledAt).Seconds()))
 }
@@ -130,7 +136,7 @@
 // stalled reports whether the server is suspect, or has all slots taken and has
 // not answered for the stall time.
 func (s *server) stalled(now time.Time) bool {
-	if s.failures >= suspectAfterFailures {
+	if s.failures >= suspectAfterFailures || s.barred(now) {
 		return true
 	}
 	stallTime := max(minStallTime, stallFactor*s.serviceTime)
--- a/permit/warmth.go
+++ b/permit/warmth.go
@@ -27,6 +27,13 @@
 	return max(1, int(math.Floor(coldRate*(overrun-1)+slack-coldBurst)))
 }
 
+// HomeColdRate returns the rate at which a home VM may start requests on a cold server. Both
+// sides of a cut may have a home VM for a while, and together they stay within
+// coldRate*overrun + slack in any second.
+func HomeColdRate(coldRate, overrun, slack float64) float64 {
+	return min(coldRate, max((coldRate*overrun+slack)/2-coldBurst, coldRate/4))
+}
+
 // warmth is what the probes of its home VM tell of a server. Entries of the store tell of a
 // cold server as well, but not while the store is unavailable.
 type warmth struct {
