peer, node: connections between VMs that fall silent are ended

Cause: connections between VMs had neither keep-alive nor a user timeout. After a cut or a loss of power without a reset, each call was written to the same dead connection until the system sent its old bytes again, up to seconds after the link had healed. Change: TCP_USER_TIMEOUT of 1.5 s on dialed and accepted connections, set before the first byte. No message of our own.

--- a/node/node.go
+++ b/node/node.go
@@ -123,7 +123,12 @@
 		lis  *net.Listener
 	}{{set.CallerAddr, &n.callerLis}, {set.PeerAddr, &n.peerLis}, {set.ReadyAddr, &n.readyLis}, {set.MetricsAddr, &n.metricsLis}} {
 		var err error
-		if *l.lis, err = net.Listen("tcp", l.addr); err != nil {
+		if l.lis == &n.peerLis {
+			*l.lis, err = peer.ListenTCP(context.Background(), l.addr)
+		} else {
+			*l.lis, err = net.Listen("tcp", l.addr)
+		}
+		if err != nil {
 			return nil, errors.Annotatef(err, "listening on %s", l.addr)
 		}
 	}
@@ -140,7 +145,7 @@
 	n.storeCalls.metrics, n.storeCalls.log = n.metrics, n.log
 	n.platform.CountCalls(n.storeCalls.count)
 	n.platform.OnStoreEra(n.recordStoreEra)
-	n.peers = peer.NewPool(insecure.NewCredentials(), nil)
+	n.peers = peer.NewPool(insecure.NewCredentials(), peer.DialTCP)
 	n.lease = newLeaseManager(n.platform.Objects(), n.platform.InternalKey("leader", "lease"),
 		leader.Identity{VM: n.settings.VM, Boot: boot, Addr: n.settings.PeerAddr},
 		func() leader.Candidacy {
