fleet: the configuration is sent once to a VM of an earlier release

Cause: a VM of an earlier release names no version of its configuration in Follow calls, so that a leader with the comparison of versions sent it the configuration with each response and never let the call wait. Change: a caller that names a revision and no version is taken to have the configuration of that revision.

--- a/fleet/hub.go
+++ b/fleet/hub.go
@@ -210,7 +210,7 @@
 // configuration or directory in this VM's view.
 func (h *Hub) lacksConfigOrDirectory(req *fleetpb.FollowRequest, term topo.Term) bool {
 	_, rev := h.view.Config()
-	if rev > req.GetConfigRev() || h.view.ConfigVersion() > req.GetConfigVersion() {
+	if rev > req.GetConfigRev() || h.lacksVersion(req) {
 		return true
 	}
 	outdated := false
@@ -274,7 +274,7 @@
 	out.AgeMs, out.StoreAgeMs = now.Sub(h.view.Confirmed()).Milliseconds(), now.Sub(h.oldestStoreResponse()).Milliseconds()
 	raw, rev := h.view.Config()
 	out.ConfigVersion, out.WantsConfig = h.view.ConfigVersion(), h.wantsConfig(now, req)
-	if out.ConfigRev = rev; rev > req.GetConfigRev() || out.ConfigVersion > req.GetConfigVersion() {
+	if out.ConfigRev = rev; rev > req.GetConfigRev() || h.lacksVersion(req) {
 		compressed, err := h.configCompressor.compress(raw, rev, out.ConfigVersion)
 		if err != nil {
 			return err
--- a/fleet/newer.go
+++ b/fleet/newer.go
@@ -25,6 +25,13 @@
 	}
 }
 
+// lacksVersion reports whether this VM has a configuration of a higher version than the
+// caller. A VM of an earlier release has one and names no version.
+func (h *Hub) lacksVersion(req *fleetpb.FollowRequest) bool {
+	unnamed := req.GetConfigVersion() == 0 && req.GetConfigRev() > 0
+	return !unnamed && h.view.ConfigVersion() > req.GetConfigVersion()
+}
+
 // mayAskConfig reports whether the caller may be asked for its configuration. The caller of
 // the method holds h.mu.
 func (h *Hub) mayAskConfig(now time.Time, req *fleetpb.FollowRequest) bool {
--- a/fleet/newer_test.go
+++ b/fleet/newer_test.go
@@ -92,3 +92,16 @@
 	require.True(t, h.wantsConfig(now.Add(askConfigInterval), req))
 	require.False(t, h.wantsConfig(now.Add(2*askConfigInterval), &fleetpb.FollowRequest{ConfigVersion: 1}))
 }
+
+// Guards against a leader that sends its configuration with each response to a VM of an
+// earlier release, which names no version.
+func TestConfigurationIsSentOnceToAVMOfAnEarlierRelease(t *testing.T) {
+	h := newTestHub()
+	h.view = configOf(2, 70)
+	resp, err := h.follow(t.Context(), &fleetpb.FollowRequest{ConfigRev: 70, WaitMs: 1})
+	require.NoError(t, err)
+	require.Empty(t, resp.GetConfigGzip())
+	resp, err = h.follow(t.Context(), &fleetpb.FollowRequest{WaitMs: 1})
+	require.NoError(t, err)
+	require.NotEmpty(t, resp.GetConfigGzip())
+}
