--- a/permit/pool.go
+++ b/permit/pool.go
@@ -188,8 +188,9 @@
 			s.update(e)
 			continue
 		}
-		p.servers[e.ID] = newServer(e, now)
-		p.servers[e.ID].maxHeldBytes = p.maxHeldBytes
+		added := newServer(e, now)
+		added.standIn, added.maxHeldBytes = p.slotDivisor > 1, p.maxHeldBytes
+		p.servers[e.ID] = added
 		p.health.Add(e.ID)
 	}
 	p.pace.valid = false
--- a/permit/server.go
+++ b/permit/server.go
@@ -84,6 +84,8 @@
 	coldBucket     float64
 	coldRefilledAt time.Time
 	warmth         warmth
+	// standIn says that this VM stands in for a home VM that does not answer.
+	standIn bool
 }
 
 func newServer(s Server, now time.Time) *server {
@@ -124,7 +126,7 @@
 	if s.suspect(now) && now.Sub(s.lastStart) < probeInterval {
 		return false
 	}
-	return !s.unproved(now) && (!s.isCold(now) || s.coldTokens(now) >= 1)
+	return !s.unproved(now) && (!s.isCold(now) || !s.barred(now) && s.coldTokens(now) >= 1)
 }
 
 // fits reports whether the server has room for a request's body. A body that exceeds the
@@ -133,6 +135,10 @@
 	return s.maxHeldBytes == 0 || bytes == 0 || s.heldBytes == 0 || s.heldBytes+bytes <= s.maxHeldBytes
 }
 
+// barred reports whether the server is cold and this VM must not use it: as many VMs may
+// stand in for its home VM as there are, and each request counts.
+func (s *server) barred(now time.Time) bool { return s.standIn && s.isCold(now) }
+
 func (s *server) coldTokens(now time.Time) float64 {
 	return min(coldBurst, s.coldBucket+s.ColdRate*max(0, now.Sub(s.coldRefilledAt).Seconds()))
 }
@@ -155,7 +161,7 @@
 // stalled reports whether the server is suspect, or has all slots taken and has
 // not answered for the stall time.
 func (s *server) stalled(now time.Time) bool {
-	if s.suspect(now) {
+	if s.suspect(now) || s.barred(now) {
 		return true
 	}
 	stallTime := max(minStallTime, stallFactor*s.serviceTime)
