rollout: slow versions end nearer to their 50th slow response

Cause: a version of which half of the responses are slow was reverted up to 1.5 s after the bound in 5 of 240 plays; the case drew from an unseeded source.

Change: less certainty is enough from an excess of 30 bad responses on. The case is deterministic.

--- a/rollout/cases_test.go
+++ b/rollout/cases_test.go
@@ -49,8 +49,8 @@
 		"on one server only":     func(_ time.Duration, server int, _ string, _ float64) (float64, float64) { return onServer(server), 1 },
 		"slow by a factor 3":     func(time.Duration, int, string, float64) (float64, float64) { return 0.004, 3 },
 		"slow on uneven servers": func(time.Duration, int, string, float64) (float64, float64) { return 0.004, 3 },
-		"half are slow": func(time.Duration, int, string, float64) (float64, float64) {
-			return 0.004, 1 + 2*float64(rand.IntN(2))
+		"half are slow": func(t time.Duration, server int, _ string, _ float64) (float64, float64) {
+			return 0.004, 1 + 2*float64((int(t/playStep)+server)%2)
 		},
 		"slow after a while":  func(t time.Duration, _ int, _ string, _ float64) (float64, float64) { return 0.004, slowFrom(t) },
 		"slow and few server": func(time.Duration, int, string, float64) (float64, float64) { return 0.004, 4 },
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -155,7 +155,7 @@
 	// maxExcess is the excess of bad responses from which a strength of excessStrength is
 	// enough: the time that is left after the 50th bad response is too short for more
 	// certainty.
-	maxExcess, excessStrength = 40, 8
+	maxExcess, excessStrength = 30, 8
 	// tests is the number of tests made on each set of windows: failures without and
 	// with the worst server, and slow responses by both usual times, each for all ratios.
 	tests = 4
