view: test of canaries with the least number of six

Change: the test has 20 servers of the target, so that both the least number and the share show.

Measured: go test -race ./view passes.

--- a/view/versions_test.go
+++ b/view/versions_test.go
@@ -36,29 +36,29 @@
 func TestLimitsSetVersionsAside(t *testing.T) {
 	v := New()
 	putVersions(v, "v1", 10, 1)
-	putVersions(v, "v2", 10, 2)
+	putVersions(v, "v2", 20, 2)
 	now := clock.Boot()
 	set := func(l rollout.Limit) uint64 {
 		v.SetLimits(now, map[topo.ServiceName]rollout.Limit{"s": l})
 		return v.Snapshot().ServersVersion
 	}
-	require.Equal(t, map[string]int{"v1": 10, "v2": 10}, versionsUsed(v))
+	require.Equal(t, map[string]int{"v1": 10, "v2": 20}, versionsUsed(v))
 	set(rollout.Limit{Target: "v2"})
 	require.Equal(t, map[string]int{"v1": 10}, versionsUsed(v))
 	require.Empty(t, v.Snapshot().Canaries("s"))
 	require.NotNil(t, v.Snapshot().Usable("v2a"), "its requests in flight and its keys")
 	first := set(rollout.Limit{Target: "v2", Share: 0.01})
-	require.Len(t, v.Snapshot().Canaries("s"), 3)
-	require.Len(t, v.Snapshot().PoolServers(CanaryPool("s")), 3)
+	require.Len(t, v.Snapshot().Canaries("s"), 6)
+	require.Len(t, v.Snapshot().PoolServers(CanaryPool("s")), 6)
 	require.Equal(t, first, set(rollout.Limit{Target: "v2", Share: 0.01}), "nothing has changed")
 	require.Greater(t, set(rollout.Limit{Target: "v2", Share: 0.5}), first)
-	require.Len(t, v.Snapshot().Canaries("s"), 5)
+	require.Len(t, v.Snapshot().Canaries("s"), 10)
 	set(rollout.Limit{Target: "v2", Whole: true})
-	require.Equal(t, map[string]int{"v2": 10}, versionsUsed(v))
+	require.Equal(t, map[string]int{"v2": 20}, versionsUsed(v))
 	set(rollout.Limit{Target: "v3", Barred: []string{"v2"}})
 	require.Equal(t, map[string]int{"v1": 10}, versionsUsed(v))
 	v.SetLimits(now, nil)
-	require.Equal(t, map[string]int{"v1": 10, "v2": 10}, versionsUsed(v))
+	require.Equal(t, map[string]int{"v1": 10, "v2": 20}, versionsUsed(v))
 }
 
 // Guards against requests to a new version in the time between its servers' entries and
