--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -64,11 +64,11 @@
 
 // vm is the process under test with its store and its backend servers.
 type vm struct {
-	t            *testing.T
-	proc         *nodeproc.Process
-	front, ready string
-	log          string
-	store        *site.Store
+	t                     *testing.T
+	proc                  *nodeproc.Process
+	front, ready, metrics string
+	log                   string
+	store                 *site.Store
 	// storeFault, unless nil, answers the calls to the store.
 	storeFault atomic.Pointer[http.HandlerFunc]
 }
@@ -130,6 +130,7 @@
 		Store: strings.TrimPrefix(srv.URL, "http://"),
 	}, site.Limits{RAMMb: memoryMB, MaxFds: maxFiles})
 	require.NoError(t, os.WriteFile(settings, []byte(text), 0o600))
+	v.metrics = addrs[3]
 	v.front, v.ready, v.log = addrs[0], addrs[1], filepath.Join(dir, "vm.log")
 	log, err := os.Create(v.log)
 	require.NoError(t, err)
--- a/internal/crowd/others_test.go
+++ b/internal/crowd/others_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"godwitlock.example/godwitlock/internal/knownred"
+	"godwitlock.example/godwitlock/membudget"
 	"godwitlock.example/godwitlock/standin/platform/site"
 )
 
@@ -86,3 +87,20 @@
 	v.store.Delete("servers", s.ID)
 	v.awaitAnswer()
 }
+
+// Guards against limits of the collector and of the budget that do not follow the
+// settings of the VM.
+func TestLimitsFollowTheSettings(t *testing.T) {
+	v := startVM(t)
+	resp, err := http.Get("http://" + v.metrics + "/metrics")
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	for name, want := range map[string]int64{
+		"collector_limit_bytes": membudget.CollectorLimit(memoryMB << 20), "caller_memory_limit_bytes": membudget.CallerLimit(memoryMB << 20),
+	} {
+		require.Contains(t, string(data), fmt.Sprintf("godwitlock_%s %d\n", name, want))
+	}
+	require.Contains(t, string(data), `godwitlock_caller_memory_bytes{purpose="connections"}`)
+}
--- a/node/memory.go
+++ b/node/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime/debug"
 	"time"
 
 	"godwitlock.example/godwitlock/membudget"
@@ -12,6 +13,7 @@
 const memoryBurstGap = 5 * time.Second
 
 func (n *Node) registerMemoryGauges() {
+	n.metrics.Gauge("collector_limit_bytes", func() float64 { return float64(debug.SetMemoryLimit(-1)) })
 	n.metrics.Gauge("caller_memory_limit_bytes", func() float64 { return float64(n.memory.Limit()) })
 	for _, p := range membudget.Purposes() {
 		n.metrics.Gauge(fmt.Sprintf("caller_memory_bytes{purpose=%q}", p), func() float64 { return float64(n.memory.Held(p)) })
