rollout: test in which the budget binds

Cause: TestRightsAreReservedWithinTheBudget passed without the budget, since its requests without rights raised it.

Change: the test goes on until the budget binds.

Measured: it passes, and fails when the budget is taken out.

--- a/rollout/decide_test.go
+++ b/rollout/decide_test.go
@@ -79,7 +79,7 @@
 		arrivals += use.Arrivals
 	}
 	require.Zero(t, granted(), "no write succeeded")
-	for range 400 {
+	for range 2000 {
 		now, ms = now.Add(100*time.Millisecond), ms+100
 		c.Tick(now, ms, Surroundings{StoreAnswers: true, Targets: 6, Others: 6})
 		c.rec.Step = 2
