ingress: the caller's end is noticed behind an answer that may break off

Cause: let the reader of a connection wait before it started a request behind a streamed answer, so that it did not notice the caller's end meanwhile. When the answer broke off, a request behind it could still reach the handler, with a context about to end. An answer with the next request already received, but not read yet, was written as it arrived. Change: the reader goes on, and the request waits before it is passed to the handler; none is once the connection ends. A streamed answer is also held back while a request is being read. Result: TestDisconnectIsNoticedBehindAnAnswerThatMayBreakOff failed before (the request behind the answer was passed on). Mutations tried: without the condition on a request that is read TestHeldBackAnswersAreBounded fails; without the wait, or with requests passed on after the end, TestNoRequestIsStarted... and TestDisconnectIsNoticed...

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -254,6 +254,10 @@
 		return false
 	}
 	run := func() {
+		if !c.state.awaitStream() {
+			p.response <- &Response{Abort: true}
+			return
+		}
 		resp := c.srv.handler(c.ctx, req)
 		var ahead *readAhead
 		switch {
--- a/ingress/holdback_test.go
+++ b/ingress/holdback_test.go
@@ -145,3 +145,36 @@
 		})
 	}
 }
+
+// Guards against a caller whose end is not noticed while a request of it waits behind an
+// answer that is being written: the server of that answer would go on working for nobody.
+func TestDisconnectIsNoticedBehindAnAnswerThatMayBreakOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGates()
+		pr, pw := io.Pipe()
+		ended := make(chan struct{})
+		_, c := dialPipe(t, defaults, func(ctx context.Context, r *Request) *Response {
+			if r.URI != "/1" {
+				return g.handle(ctx, r)
+			}
+			context.AfterFunc(ctx, func() { close(ended); _ = pw.CloseWithError(ctx.Err()) })
+			return &Response{Status: 200, Stream: pr, Length: 4}
+		})
+		send(t, c, get("/1"))
+		go func() { _, _ = pw.Write([]byte("ab")) }()
+		_, err := http.ReadResponse(c.br, nil)
+		require.NoError(t, err)
+		send(t, c, get("/2"))
+		synctest.Wait()
+		require.NoError(t, c.Close())
+		synctest.Wait()
+		select {
+		case <-ended:
+		default:
+			t.Error("the context of the request has not ended")
+			_ = pw.CloseWithError(io.ErrUnexpectedEOF)
+		}
+		synctest.Wait()
+		require.Empty(t, g.uris())
+	})
+}
--- a/ingress/state.go
+++ b/ingress/state.go
@@ -80,16 +80,11 @@
 // start records that a request was read completely, or refused, and what readLoop is
 // to do next. end is the position in the received bytes after the request. It returns
 // what readLoop does: while draining it reads a request behind another one only if
-// its first byte was received before Drain. It waits while a response that may break off is
-// being written.
+// its first byte was received before Drain.
 func (s *connState) start(next readerState, end int64, draining bool) readerState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	defer s.update()
-	s.streamed.L = &s.mu
-	for s.streaming && !s.ended {
-		s.streamed.Wait()
-	}
 	s.unanswered++
 	s.reader = next
 	if next == reading && draining && end >= s.drainedAt {
@@ -114,18 +109,34 @@
 }
 
 // beginStream records that a response which may break off is written next, so that no
-// further request is started until endAnswer. It returns false, and changes nothing, if
-// other responses are owed behind it, unless force is set.
+// further request is passed to the handler until endAnswer. It returns false, and changes
+// nothing, if other responses are owed behind it or a request is being read, unless force is
+// set.
 func (s *connState) beginStream(force bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !force && s.unanswered > 1 {
+	if !force && (s.unanswered > 1 || s.reader == reading) {
 		return false
 	}
 	s.streaming = true
 	return true
 }
 
+// awaitStream waits while a response that may break off is being written. It returns false
+// if no response follows that one.
+func (s *connState) awaitStream() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.streaming {
+		return true
+	}
+	s.streamed.L = &s.mu
+	for s.streaming && !s.ended {
+		s.streamed.Wait()
+	}
+	return !s.ended
+}
+
 // endAnswer records that a response was written.
 func (s *connState) endAnswer() {
 	s.mu.Lock()
--- a/ingress/write.go
+++ b/ingress/write.go
@@ -29,6 +29,8 @@
 		var end *ConnectionEnd
 		if err != nil || last {
 			end = c.endOf(p, err)
+			// Before endAnswer, which lets requests behind this answer start.
+			c.state.end()
 		}
 		if resp.OnWritten != nil && err != nil {
 			resp.OnWritten(end)
