--- a/ingress/write.go
+++ b/ingress/write.go
@@ -29,6 +29,8 @@
 		var end *ConnectionEnd
 		if err != nil || last {
 			end = c.endOf(p, err)
+			// Before endAnswer, which lets requests behind this answer start.
+			c.state.end()
 		}
 		if resp.OnWritten != nil && err != nil {
 			resp.OnWritten(end)
@@ -36,10 +38,6 @@
 			resp.OnWritten(nil)
 		}
 		c.lastWrite.Store(time.Now().UnixNano())
-		if err != nil {
-			// A request that waits for the end of this response must not start.
-			c.state.end()
-		}
 		c.state.endAnswer()
 		c.list.remove()
 		c.release(p)
