--- a/node/assigner.go
+++ b/node/assigner.go
@@ -354,7 +354,7 @@
 		return
 	}
 	a.predecessorLives = true
-	a.node.log.Event("predecessor_lives").Uint64("term", uint64(a.term)).Str("vm", string(p.Holder.VM)).
+	a.node.log.Event("predecessor_lives").Uint64("term", uint64(a.term)).Str("predecessor", string(p.Holder.VM)).
 		Dur("led_ms", now.Sub(a.observedAt)).Send()
 	for _, m := range a.machines {
 		m.PredecessorLives(a.observedAt)
