--- a/execution/attempts.go
+++ b/execution/attempts.go
@@ -148,31 +148,30 @@
 // is worth more to a caller that will not return again. It responds to servers that
 // refuse a large part of all requests for longer than the budget lasts.
 func (b *Budget) WithdrawReturnable(now time.Time) bool {
-	current := b.currentBucket(now)
-	var requests, returned int
-	for i := range b.buckets {
-		if c := &b.buckets[i]; current.index-c.index < returnedBuckets {
-			requests += c.requests
-			returned += c.returned
-		}
-	}
-	if float64(returned) < returnedShare*float64(requests) {
+	recent := b.sum(b.currentBucket(now), returnedBuckets)
+	if float64(recent.returned) < returnedShare*float64(recent.requests) {
 		return b.withdraw(now, 0)
 	}
 	return b.withdraw(now, reservedShare)
 }
 
-// withdraw takes a retry from the part of the budget that is not reserved.
-func (b *Budget) withdraw(now time.Time, reserved float64) bool {
-	current := b.currentBucket(now)
-	var requests, retries int
+// sum returns the counts of the last n buckets.
+func (b *Budget) sum(current *budgetCount, n int64) (sum budgetCount) {
 	for i := range b.buckets {
-		if c := &b.buckets[i]; current.index-c.index < budgetBuckets {
-			requests += c.requests
-			retries += c.retries
+		if c := &b.buckets[i]; current.index-c.index < n {
+			sum.requests += c.requests
+			sum.returned += c.returned
+			sum.retries += c.retries
 		}
 	}
-	if float64(retries+1) > b.allowed(requests)*(1-reserved) {
+	return sum
+}
+
+// withdraw takes a retry from the part of the budget that is not reserved.
+func (b *Budget) withdraw(now time.Time, reserved float64) bool {
+	current := b.currentBucket(now)
+	window := b.sum(current, budgetBuckets)
+	if float64(window.retries+1) > b.allowed(window.requests)*(1-reserved) {
 		return false
 	}
 	current.retries++
