leader, node: no long wait after a leader that released its lease

Change: a holder that released its lease was not killed while it led; its orders had been answered or given up before.

--- a/leader/lease.go
+++ b/leader/lease.go
@@ -216,7 +216,10 @@
 	// Holder is the process that held the lease; empty if it had been released, or if the
 	// record may be older than the last holder.
 	Holder Identity
-	// Term is the term of Holder.
+	// Released says that the holder had released the lease, so that it was not killed
+	// while it led.
+	Released bool
+	// Term is the term of the holder.
 	Term topo.Term
 }
 
@@ -297,12 +300,13 @@
 		return l.renew(now)
 	}
 	last := l.current.Record
+	released := last.Term > 0 && last.Holder == (Identity{}) && !l.current.restored()
 	l.predecessorSettled = last.Settled && !l.current.restored()
 	if l.current.restored() {
 		// The last holder may have had more members than the older copy says.
 		last.Members, last.Holder = 0, Identity{}
 	}
-	l.predecessor = Predecessor{Exists: last.Term > 0 || l.current.restored(), Expired: l.unchangedForLease(now), Members: last.Members, Holder: last.Holder, Term: last.Term}
+	l.predecessor = Predecessor{Exists: last.Term > 0 || l.current.restored(), Expired: l.unchangedForLease(now), Members: last.Members, Holder: last.Holder, Released: released, Term: last.Term}
 	l.continuedTerm, l.earlierOrdersEnd = 0, time.Time{}
 	if l.continues() {
 		l.continuedTerm = last.Term
--- a/leader/lease_test.go
+++ b/leader/lease_test.go
@@ -298,6 +298,7 @@
 	require.Zero(t, step.Next.Members)
 	require.Zero(t, l.Predecessor().Members)
 	require.Empty(t, l.Predecessor().Holder, "another process may have held the lease since")
+	require.False(t, l.Predecessor().Released)
 }
 
 // Guards against a stopping VM that reads a free lease again and again without a pause.
@@ -332,3 +333,14 @@
 	l.Observed(start, VersionedRecord{Record: Record{Term: 3}, Version: 10})
 	require.False(t, l.Urgent())
 }
+
+// Guards against waiting for the orders of a killed leader after one that released its lease.
+func TestReleasedLeaseIsTold(t *testing.T) {
+	l := New(Identity{VM: "a", Boot: "1", Addr: "a"}, Candidacy{})
+	l.Observed(start, VersionedRecord{Record: Record{Term: 4}, Version: 7})
+	later := start.Add(2 * TTL)
+	l.Observed(later, VersionedRecord{Record: Record{Term: 4}, Version: 7})
+	require.Equal(t, Write, l.Next(later).Action)
+	require.True(t, l.Predecessor().Released)
+	require.Equal(t, topo.Term(4), l.Predecessor().Term)
+}
--- a/node/assigner.go
+++ b/node/assigner.go
@@ -344,13 +344,14 @@
 const predecessorGrace = time.Second
 
 // checkPredecessor tells the machines once the process of the leader before this one is known
-// to have outlived its lease. Orders of a process that was killed may be held up by a cut.
+// to have outlived its lease. Orders of a process that was killed may be held up by a cut. One
+// that released the lease had waited for its orders, or given them up, before.
 func (a *assigner) checkPredecessor(now time.Time) {
 	p := a.node.lease.Predecessor()
-	if a.predecessorLives || p.Holder.Boot == "" || p.Term != a.observedTerm {
+	if a.predecessorLives || p.Term == 0 || p.Term != a.observedTerm || now.Sub(a.termStart) < predecessorGrace {
 		return
 	}
-	if !a.node.hub.LivedAfter(p.Holder.VM, p.Holder.Boot, a.termStart.Add(predecessorGrace)) {
+	if !p.Released && !a.node.hub.LivedAfter(p.Holder.VM, p.Holder.Boot, a.termStart.Add(predecessorGrace)) {
 		return
 	}
 	a.predecessorLives = true
