node, forward: expected work orders requests only where the settings ask for it

Change: a VM learns and sends the expected work of routes only with the part health of the contracts.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -87,7 +87,8 @@
 	Budgets *Budgets
 	// Pauses holds the servers that want no requests from this VM for some time.
 	Pauses *pushback.Table
-	// Work holds the expected service times of the routes.
+	// Work holds the expected service times of the routes; nil if requests are to be
+	// ordered without them.
 	Work *workload.Table
 	// Rollouts says which versions may be used; nil if there are no roll-outs.
 	Rollouts Rollouts
@@ -121,9 +122,6 @@
 	if f.Pauses == nil {
 		f.Pauses = &pushback.Table{}
 	}
-	if f.Work == nil {
-		f.Work = workload.New()
-	}
 	f.lateCtx, f.late = context.WithCancel(context.Background())
 	f.stopCtx, f.stop = context.WithCancel(context.Background())
 	f.abandonCtx, f.abandon = context.WithCancel(context.Background())
--- a/forward/work_test.go
+++ b/forward/work_test.go
@@ -12,6 +12,7 @@
 	"godwitlock.example/godwitlock/clock"
 	"godwitlock.example/godwitlock/permit"
 	"godwitlock.example/godwitlock/view"
+	"godwitlock.example/godwitlock/workload"
 )
 
 // requestRecorder grants slots at once and records the requests for them.
@@ -36,7 +37,7 @@
 		return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok"
 	})
 	slots := &requestRecorder{}
-	tf.Slots = slots
+	tf.Slots, tf.Work = slots, workload.New()
 	serve := func(path string) permit.Request {
 		r := newRequest(path)
 		require.Equal(t, http.StatusOK, tf.Serve(t.Context(), r).Status)
--- a/node/node.go
+++ b/node/node.go
@@ -34,7 +34,6 @@
 	"godwitlock.example/godwitlock/routemap"
 	"godwitlock.example/godwitlock/topo"
 	"godwitlock.example/godwitlock/view"
-	"godwitlock.example/godwitlock/workload"
 )
 
 const (
@@ -194,7 +193,7 @@
 		Slots:   fleet.NewSlots(n.settings.VM, n.settings.DataCentre, n.peers, n.broker, n.fallback),
 		Budgets: forward.NewBudgets(n.bounds().RetryShare*retryShareFraction, n.retrySlack),
 		Pauses:  &n.pauses, Rollouts: n.rollouts,
-		Work: workload.New(),
+		Work: n.workTable(),
 	})
 	n.ingress = ingress.NewServer(n.platform.CallerHeaders(), n.forward.Serve, n.callerLimits)
 	n.ingress.OnAnswerDropped, n.ingress.OnUnread = n.recordDroppedAnswer, n.recordUnread
--- a/node/pools.go
+++ b/node/pools.go
@@ -10,6 +10,7 @@
 	"godwitlock.example/godwitlock/permit"
 	"godwitlock.example/godwitlock/topo"
 	"godwitlock.example/godwitlock/view"
+	"godwitlock.example/godwitlock/workload"
 )
 
 // poolServers returns the servers whose slots belong to a pool, and the version
@@ -32,6 +33,15 @@
 	return out, snap.ServersVersion
 }
 
+// workTable returns the table of the expected work of routes. Where the rules do not speak of
+// servers that differ and fail in part, it is nil, and requests are ordered without it.
+func (n *Node) workTable() *workload.Table {
+	if !n.settings.EjectServers {
+		return nil
+	}
+	return workload.New()
+}
+
 // maxHeldBytes bounds the size of the bodies at one server, over all VMs. The memory of a
 // server is not known; eight bodies of 1 MiB fit, and a longer one is sent alone.
 const maxHeldBytes = 8 << 20
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -30,7 +30,8 @@
 	Samples int
 }
 
-// Table holds the estimates of routes. It is safe for concurrent use.
+// Table holds the estimates of routes. It is safe for concurrent use. A nil Table has no
+// estimates and ignores what is recorded.
 type Table struct {
 	mu     sync.RWMutex
 	routes map[string]*average
@@ -52,7 +53,7 @@
 // Record adds the service time of a completed request. When the table is full, a new
 // route replaces the one without responses for the longest time.
 func (t *Table) Record(route string, d time.Duration) {
-	if d <= 0 || d > maxServiceTime {
+	if t == nil || d <= 0 || d > maxServiceTime {
 		return
 	}
 	t.mu.Lock()
@@ -84,6 +85,9 @@
 
 // Of returns the estimate of a route; its zero value until there are enough samples.
 func (t *Table) Of(route string) Estimate {
+	if t == nil {
+		return Estimate{}
+	}
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	a := t.routes[route]
--- a/workload/workload_test.go
+++ b/workload/workload_test.go
@@ -82,3 +82,10 @@
 	wg.Wait()
 	require.Equal(t, 4000, tab.Of("r").Samples)
 }
+
+// Guards against a deployment without estimates that ends the process.
+func TestNoTableHasNoEstimates(t *testing.T) {
+	var table *Table
+	table.Record("a", time.Second)
+	require.Zero(t, table.Of("a"))
+}
