egress: a response that was reset during the upload looked complete

Callers saw: a backend server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection. The caller got that part as the whole answer.

Cause: the body of such a response ends with its connection. The kernel reports once that a connection broke, to the call that meets it first. While an upload is being written, that is often the write; the read then returns an ordinary end of the stream, which counted as the end of the body. The same holds for a read after one that returned the reset.

Change: the writer of a request keeps the error of its last write. At the end of a body that only the close of its connection ends, the upload is stopped, and the body counts as broken if its write met an error, such as a reset. An error of a body stays the result of every further read. A server that closes its side and then resets the connection gives EPIPE to the write, so a complete response still counts.

--- a/egress/conn.go
+++ b/egress/conn.go
@@ -45,6 +45,8 @@
 	limited   *readlimit.Reader
 	br        *bufio.Reader
 	idleUntil time.Time
+	// out writes the current request.
+	out *requestWriter
 	// writeStarted is set when at least one byte of the current request may
 	// have been written.
 	writeStarted bool
--- a/egress/response.go
+++ b/egress/response.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/juju/errors"
+
 	"godwitlock.example/godwitlock/call"
 )
 
@@ -28,7 +30,7 @@
 	}
 	cn.idleUntil = time.Now().Add(keepAliveTimeout(resp.Header.Get("Keep-Alive")))
 	call.StripHopByHop(out.Header)
-	b := &responseBody{cn: cn, r: resp.Body, stop: stop, complete: resp.ContentLength == 0}
+	b := &responseBody{cn: cn, r: resp.Body, stop: stop, complete: resp.ContentLength == 0, closeDelimited: out.CloseDelimited}
 	out.Body, out.body = b, b
 	if out.NotRun {
 		b.skipRefusal()
@@ -57,6 +59,11 @@
 	stop     func() bool
 	complete bool
 	finished bool
+	// err is the error that ended the body, other than io.EOF. Reading on after a reset
+	// would return io.EOF.
+	err error
+	// closeDelimited is set when only the close of the connection marks the end.
+	closeDelimited bool
 	// timeLimited is set when the connection has a read deadline.
 	timeLimited bool
 }
@@ -77,14 +84,34 @@
 // Read implements io.Reader. An error other than io.EOF means that the body is
 // incomplete.
 func (b *responseBody) Read(p []byte) (int, error) {
+	if b.err != nil {
+		return 0, b.err
+	}
 	n, err := b.r.Read(p)
-	if err == io.EOF {
+	if err == io.EOF && b.closeDelimited {
+		err = b.endOfConnection()
+	}
+	switch err {
+	case nil:
+	case io.EOF:
 		b.complete = true
 		b.finish()
+	default:
+		b.err = err
 	}
 	return n, err
 }
 
+// endOfConnection returns the error of a read at the end of a body that only the close of
+// the connection ends. The kernel reports once that a connection broke: if the write of
+// the request gets that error, the read sees an ordinary end of the stream.
+func (b *responseBody) endOfConnection() error {
+	if err := b.cn.out.stop(); err != nil {
+		return errors.Annotate(err, "connection broke before the end of the response body")
+	}
+	return io.EOF
+}
+
 // Close ends the exchange. If the body was not read to its end, the connection
 // is closed instead of reused.
 func (b *responseBody) Close() error {
--- a/egress/write.go
+++ b/egress/write.go
@@ -3,42 +3,50 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
+	"sync"
+	"syscall"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // sendRequest writes the request. A long body is written concurrently with
 // reading the response, which may arrive before the body is complete; the
 // returned channel receives the result of the write.
 func (cn *conn) sendRequest(h *Headers, target Target, req *Request) (<-chan error, error) {
+	cn.out = &requestWriter{nc: cn.nc}
 	writeResult := make(chan error, 1)
 	head := appendHead(make([]byte, 0, 1024), h, target, req)
 	if req.Stream == nil && len(req.Body) <= bufferBytes {
 		head = append(head, req.Body...)
 		cn.writeStarted = true
-		n, err := cn.nc.Write(head)
+		n, err := cn.out.Write(head)
 		cn.writeStarted = n > 0
 		writeResult <- err
 		return writeResult, err
 	}
 	cn.writeStarted = true
-	if n, err := cn.nc.Write(head); err != nil {
+	if n, err := cn.out.Write(head); err != nil {
 		cn.writeStarted = n > 0
 		return nil, err
 	}
-	go func() { writeResult <- cn.sendBody(req) }()
+	out := cn.out
+	go func() { writeResult <- cn.sendBody(out, req) }()
 	return writeResult, nil
 }
 
-func (cn *conn) sendBody(req *Request) error {
+func (cn *conn) sendBody(out *requestWriter, req *Request) error {
 	if req.Stream == nil {
-		_, err := cn.nc.Write(req.Body)
+		_, err := out.Write(req.Body)
 		return err
 	}
 	if req.Length >= 0 {
-		n, err := io.Copy(cn.nc, io.LimitReader(req.Stream, req.Length))
+		n, err := io.Copy(out, io.LimitReader(req.Stream, req.Length))
 		if err == nil && n < req.Length {
 			// Closing the connection keeps the server from treating a
 			// truncated body as complete.
@@ -47,15 +55,44 @@
 		}
 		return err
 	}
-	w := &chunkWriter{w: cn.nc}
+	w := &chunkWriter{w: out}
 	if _, err := io.Copy(w, req.Stream); err != nil {
 		cn.close()
 		return err
 	}
-	_, err := io.WriteString(cn.nc, "0\r\n\r\n")
+	_, err := io.WriteString(out, "0\r\n\r\n")
 	return err
 }
 
+// requestWriter writes a request to its connection and keeps the error of the last write.
+type requestWriter struct {
+	nc net.Conn
+	// mu is held during a write.
+	mu  sync.Mutex
+	err error
+}
+
+// Write implements io.Writer.
+func (w *requestWriter) Write(p []byte) (n int, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n, w.err = w.nc.Write(p)
+	return n, w.err
+}
+
+// stop ends the write in progress and makes later ones fail. It returns the error with
+// which the connection broke, if a write met it.
+func (w *requestWriter) stop() error {
+	_ = w.nc.SetWriteDeadline(time.Unix(1, 0))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if errors.Is(w.err, os.ErrDeadlineExceeded) || errors.Is(w.err, syscall.EPIPE) {
+		// EPIPE is reported if the server had closed its side before the connection broke.
+		return nil
+	}
+	return w.err
+}
+
 // chunkWriter writes each non-empty slice as a chunk of the chunked transfer
 // coding.
 type chunkWriter struct{ w io.Writer }
