egress: a failed write of a chunked upload lost the response

Callers saw: a backend server answered an upload in chunks completely, closed its side and reset the connection while the upload was being written. The caller got 502, or a body that broke off, in place of the complete answer.

Cause: a chunked upload that ended with an error closed the connection, together with what had been received on it. That is meant for a caller whose body breaks off; it happened after a failed write, too.

Change: the connection is closed only if reading the caller's body failed.

The part of a response without a length is still broken when the upload is in chunks (TestResetDuringUploadIsNoEndOfTheBody).

--- a/egress/reset_test.go
+++ b/egress/reset_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -89,7 +90,7 @@
 	for _, length := range []int64{64 << 20, -1} {
 		for _, received := range []string{"", "part of the body", strings.Repeat("part", 4<<10)} {
 			for _, readBefore := range []int{0, 4, len(received)} {
-				t.Run(strconv.FormatInt(length, 10)+" "+strconv.Itoa(len(received))+" "+strconv.Itoa(readBefore), func(t *testing.T) {
+				t.Run(fmt.Sprint(length, " ", len(received), " ", readBefore), func(t *testing.T) {
 					s := &earlyAnswer{response: okResponse("a", "", received), end: resetConn}
 					target := s.start(t)
 					body := newUpload(firstBytes, 64<<20)
@@ -153,26 +154,28 @@
 	}
 	for endName, end := range ends {
 		for responseName, response := range responses {
-			for _, stalled := range []bool{false, true} {
-				t.Run(endName+" "+responseName+" "+strconv.FormatBool(stalled), func(t *testing.T) {
-					s := &earlyAnswer{response: response, end: end}
-					target := s.start(t)
-					body := newUpload(256<<10, 64<<20)
-					if stalled {
-						defer close(body.resume)
-					} else {
-						close(body.resume)
-					}
-					ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
-					defer cancel()
-					resp, err := New(testHeaders).Do(ctx, target, uploadRequest(64<<20, body))
-					require.NoError(t, err)
-					close(s.proceed)
-					<-s.ended
-					require.Equal(t, want, readAll(t, resp))
-					require.NoError(t, resp.Body.Close())
-					require.NoError(t, ctx.Err(), "the end of the response does not wait for the upload")
-				})
+			for _, length := range []int64{64 << 20, -1} {
+				for _, stalled := range []bool{false, true} {
+					t.Run(fmt.Sprint(endName, " ", responseName, " ", length, " ", stalled), func(t *testing.T) {
+						s := &earlyAnswer{response: response, end: end}
+						target := s.start(t)
+						body := newUpload(256<<10, 64<<20)
+						if stalled {
+							defer close(body.resume)
+						} else {
+							close(body.resume)
+						}
+						ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+						defer cancel()
+						resp, err := New(testHeaders).Do(ctx, target, uploadRequest(length, body))
+						require.NoError(t, err)
+						close(s.proceed)
+						<-s.ended
+						require.Equal(t, want, readAll(t, resp))
+						require.NoError(t, resp.Body.Close())
+						require.NoError(t, ctx.Err(), "the end of the response does not wait for the upload")
+					})
+				}
 			}
 		}
 	}
--- a/egress/write.go
+++ b/egress/write.go
@@ -57,7 +57,10 @@
 	}
 	w := &chunkWriter{w: out}
 	if _, err := io.Copy(w, req.Stream); err != nil {
-		cn.close()
+		// After a failed write, a response that the server has sent is still read.
+		if !out.failed() {
+			cn.close()
+		}
 		return err
 	}
 	_, err := io.WriteString(out, "0\r\n\r\n")
@@ -80,6 +83,13 @@
 	return n, w.err
 }
 
+// failed reports whether the last write failed.
+func (w *requestWriter) failed() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.err != nil
+}
+
 // stop ends the write in progress and makes later ones fail. It returns the error with
 // which the connection broke, if a write met it.
 func (w *requestWriter) stop() error {
