egress: check the head of a response byte by byte

Callers saw: a backend server in trouble sent a response in whose head the name of a field held a blank or a control byte. The caller got it as an answer, with that line passed on, or with a body that was not the server's, such as one with the framing of its chunks.

Cause: net/http accepts names with blanks and keeps them as they are, so that "Content-Length : 4" frames nothing. A line that begins with a blank or a tab is joined to the field before it. A lone LF ends a line, also in a head whose lines end with CR LF, so that an LF at the start of a name ends the head. Names with other control bytes were rejected before.

Change: package internal/httphead checks the bytes of a head on their way to net/http. A head with a byte in a name that no token has, a line that begins with a blank, a control byte, or lines that end in different ways is a broken answer: the request may have run, and the connection is not used again. Heads whose lines all end with LF alone are still accepted.

TestSoundResponsesArePassedOn passes with and without it.

--- a/egress/conn.go
+++ b/egress/conn.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
 
+	"godwitlock.example/godwitlock/internal/httphead"
 	"godwitlock.example/godwitlock/internal/readlimit"
 	"godwitlock.example/godwitlock/topo"
 )
@@ -43,6 +44,7 @@
 	server    topo.Incarnation
 	nc        net.Conn
 	limited   *readlimit.Reader
+	heads     *httphead.Reader
 	br        *bufio.Reader
 	idleUntil time.Time
 	// out writes the current request.
@@ -73,7 +75,8 @@
 
 func newConn(c *Client, id topo.Incarnation, nc net.Conn) *conn {
 	limited := readlimit.New(nc)
-	return &conn{client: c, server: id, nc: nc, limited: limited, br: bufio.NewReaderSize(limited, bufferBytes)}
+	heads := httphead.NewReader(limited)
+	return &conn{client: c, server: id, nc: nc, limited: limited, heads: heads, br: bufio.NewReaderSize(heads, bufferBytes)}
 }
 
 func (cn *conn) close() {
--- a/egress/head.go
+++ b/egress/head.go
@@ -70,15 +70,26 @@
 }
 
 // readFinalHead reads response heads until one that is not informational. It
-// fails after readlimit.ResponseHeadBytes.
+// fails at the first byte that does not belong in a head, and after
+// readlimit.ResponseHeadBytes.
 func (cn *conn) readFinalHead(req *Request) (*http.Response, error) {
 	cn.limited.SetLimit(readlimit.ResponseHeadBytes)
 	defer cn.limited.Unlimit()
+	buffered, err := cn.br.Peek(cn.br.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if err := cn.heads.ExpectResponse(buffered); err != nil {
+		return nil, err
+	}
 	for {
 		if err := cn.checkStatusLine(); err != nil {
 			return nil, err
 		}
 		resp, err := http.ReadResponse(cn.br, &http.Request{Method: req.Method})
+		if malformed := cn.heads.Err(); malformed != nil {
+			return nil, malformed
+		}
 		switch {
 		case errors.Is(err, readlimit.ErrExceeded):
 			return nil, errors.Annotatef(err, "response has no complete head within %d bytes", readlimit.ResponseHeadBytes)
