backend: check the heads of responses and of replies to control commands

Callers of godwitlock's own interface saw the same: a response with a blank in the name of a field was passed on with that line, or with another body. A reply to a grant, a renewal or a health report counted, too.

Cause: as in package egress, net/http accepts such heads.

Change: connections to backend servers check each head with package httphead, from the first byte after a request was assigned to the connection.

TestConnSeal builds its connection with the new type; what it checks is unchanged.

--- a/backend/client.go
+++ b/backend/client.go
@@ -12,6 +12,7 @@
 	"godwitlock.example/godwitlock/call"
 	"godwitlock.example/godwitlock/errkind"
 	"godwitlock.example/godwitlock/execution"
+	"godwitlock.example/godwitlock/internal/httphead"
 	"godwitlock.example/godwitlock/internal/readlimit"
 	"godwitlock.example/godwitlock/topo"
 )
@@ -72,7 +73,7 @@
 				release()
 				return nil, err
 			}
-			return &conn{Conn: nc, release: release, allowAllWrites: allowAllWrites}, nil
+			return &conn{Conn: httphead.NewConn(nc), release: release, allowAllWrites: allowAllWrites}, nil
 		},
 		MaxConnsPerHost:        limit,
 		MaxIdleConns:           limit,
--- a/backend/client_test.go
+++ b/backend/client_test.go
@@ -19,6 +19,7 @@
 	"godwitlock.example/godwitlock/call"
 	"godwitlock.example/godwitlock/errkind"
 	"godwitlock.example/godwitlock/execution"
+	"godwitlock.example/godwitlock/internal/httphead"
 	"godwitlock.example/godwitlock/standin/server"
 	"godwitlock.example/godwitlock/topo"
 )
@@ -181,7 +182,7 @@
 func TestConnSeal(t *testing.T) {
 	local, remote := net.Pipe()
 	defer remote.Close()
-	c := &conn{Conn: local, release: func() {}}
+	c := &conn{Conn: httphead.NewConn(local), release: func() {}}
 	_, err := c.Write([]byte("x"))
 	require.ErrorIs(t, err, errWriteRefused)
 
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"net"
 	"net/http/httptrace"
 	"sync"
 
 	"github.com/juju/errors"
+
+	"godwitlock.example/godwitlock/internal/httphead"
 )
 
 // errWriteRefused is returned by a write on a data connection that has no
@@ -26,7 +27,7 @@
 // writes only for the request in progress, and records whether any byte of that
 // request was written.
 type conn struct {
-	net.Conn
+	*httphead.Conn
 	release func()
 	once    sync.Once
 	// allowAllWrites is set on control connections, which accept all writes.
@@ -91,6 +92,7 @@
 		a = nil
 	}
 	c.owner, c.last, c.sentAny = a, a, false
+	c.ExpectResponse()
 	return !c.retired
 }
 
--- a/backend/control.go
+++ b/backend/control.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"godwitlock.example/godwitlock/internal/httphead"
 	"godwitlock.example/godwitlock/topo"
 )
 
@@ -126,7 +127,7 @@
 // redirects. net/http may send the body twice, which is safe because all
 // commands may be repeated.
 func (c *Control) roundTrip(ctx context.Context, method, path string, body []byte, reply any) error {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.addr+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(httphead.WithTrace(ctx), method, "http://"+c.addr+path, bytes.NewReader(body))
 	if err != nil {
 		return errors.Trace(err)
 	}
