store: check the heads of responses of the object API

A write counted as acknowledged, or an object as read, although the name of a field in the head of the response held a blank, or a line began with one.

Cause: as in package egress, net/http accepts such heads.

Change: the client's connections check each head with package httphead; such a call fails as one whose response was lost.

Evidence: TestMalformedResponseIsAnError fails without the change and passes with it, under the race detector too.

--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -12,6 +12,7 @@
 
 	"godwitlock.example/godwitlock/backend"
 	"godwitlock.example/godwitlock/control"
+	"godwitlock.example/godwitlock/internal/httphead"
 	"godwitlock.example/godwitlock/peer"
 	"godwitlock.example/godwitlock/router"
 	"godwitlock.example/godwitlock/store"
@@ -133,6 +134,6 @@
 		return nil
 	}
 	transport := store.NewTransport()
-	transport.DialContext = dial
+	transport.DialContext = httphead.Dial(dial)
 	return &http.Client{Transport: transport}
 }
--- a/store/client.go
+++ b/store/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -14,6 +15,7 @@
 
 	"github.com/juju/errors"
 
+	"godwitlock.example/godwitlock/internal/httphead"
 	"godwitlock.example/godwitlock/internal/readlimit"
 	"godwitlock.example/godwitlock/topo"
 )
@@ -68,6 +70,7 @@
 // NewTransport returns the transport of a client of the object API.
 func NewTransport() *http.Transport {
 	return &http.Transport{
+		DialContext:         httphead.Dial(new(net.Dialer).DialContext),
 		MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: readlimit.ResponseHeadBytes,
 	}
 }
@@ -108,7 +111,7 @@
 // do sends one request and reads the whole response. For a status other than
 // 200 it returns both the response and the matching error.
 func (c *Client) do(ctx context.Context, method, path string, body []byte, hdr http.Header) (*http.Response, []byte, error) {
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(httphead.WithTrace(ctx), method, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, nil, errors.NewNotValid(err, "store request")
 	}
