peer: reject malformed fields in the response of another VM

A response that another VM passes on may have a field whose name holds a blank, as one of an earlier version does; the entry VM passed it on to the caller.

Cause: the fields of a response were taken over from the message unchecked.

Change: the fields of the head and of the trailer are checked (call.CheckHeader). The outcome of a request with such a response is unknown, like that of one with an unknown status.

Evidence: TestForwardRejectsMalformedFields fails without the change and passes with it, under the race detector too.

--- a/call/call.go
+++ b/call/call.go
@@ -9,6 +9,9 @@
 	"io"
 	"net/http"
 
+	"github.com/juju/errors"
+	"golang.org/x/net/http/httpguts"
+
 	"godwitlock.example/godwitlock/topo"
 )
 
@@ -102,3 +105,19 @@
 // ValidStatus reports whether a status may be that of the response to a request. A
 // response with another one is broken, and its request may have run.
 func ValidStatus(status int) bool { return status >= 200 && status <= 599 }
+
+// CheckHeader returns an error if a field of a response cannot be passed on: its name is
+// no token, or its value holds a control byte.
+func CheckHeader(h http.Header) error {
+	for name, values := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Errorf("name of a field is %q", name)
+		}
+		for _, v := range values {
+			if !httpguts.ValidHeaderFieldValue(v) {
+				return errors.Errorf("value of field %s is %q", name, v)
+			}
+		}
+	}
+	return nil
+}
--- a/peer/body.go
+++ b/peer/body.go
@@ -66,7 +66,11 @@
 	case *peerpb.ForwardDown_Body:
 		return f.Body, nil
 	case *peerpb.ForwardDown_End:
-		resp.Trailer = decodeHeader(f.End.GetTrailer())
+		trailer := decodeHeader(f.End.GetTrailer())
+		if err := call.CheckHeader(trailer); err != nil {
+			return nil, errkind.Wrap(err, errkind.OutcomeUnknown, "home VM sent an unusable trailer")
+		}
+		resp.Trailer = trailer
 		return nil, io.EOF
 	case *peerpb.ForwardDown_Refusal:
 		return nil, decodeRefusal(f.Refusal)
--- a/peer/client.go
+++ b/peer/client.go
@@ -260,16 +260,24 @@
 	case *peerpb.ForwardDown_Refusal:
 		return nil, decodeRefusal(f.Refusal)
 	case *peerpb.ForwardDown_Head:
-		if status := f.Head.GetStatus(); !call.ValidStatus(int(status)) {
+		resp := newResponse(f.Head, stream, cancel)
+		if err := checkResponse(resp); err != nil {
 			cancel()
-			return nil, execution.Fail(execution.HomeStream, errkind.OutcomeUnknown, "home VM sent an unusable response",
-				errors.Errorf("status %d", status))
+			return nil, execution.Fail(execution.HomeStream, errkind.OutcomeUnknown, "home VM sent an unusable response", err)
 		}
-		return newResponse(f.Head, stream, cancel), nil
+		return resp, nil
 	}
 	return nil, errkind.New(errkind.OutcomeUnknown, "home VM sent an unexpected frame")
 }
 
+// checkResponse rejects a response that cannot be passed on to a caller.
+func checkResponse(resp *call.Response) error {
+	if !call.ValidStatus(resp.Status) {
+		return errors.Errorf("status %d", resp.Status)
+	}
+	return call.CheckHeader(resp.Header)
+}
+
 // maxHistoryBytes bounds one History response. It allows for the memory limit of
 // one server's history and for the encoding.
 const maxHistoryBytes = 32 << 20
--- a/peer/forward_test.go
+++ b/peer/forward_test.go
@@ -173,3 +173,29 @@
 		}
 	})
 }
+
+// Guards against a field that another VM, of an earlier version, passes on although its
+// name or its value is malformed, in the head or in the trailer of a response.
+func TestForwardRejectsMalformedFields(t *testing.T) {
+	for _, field := range []http.Header{
+		{"X ": {"a"}}, {" X": {"a"}}, {"X Y": {"a"}}, {"X\x01": {"a"}}, {"X\r\nY": {"a"}}, {"": {"a"}}, {"X": {"a\r\nY: b"}}, {"X": {"b", "\x00"}},
+	} {
+		for _, inTrailer := range []bool{false, true} {
+			doer, _ := startHome(t, call.DoerFunc(func(context.Context, *call.Request) (*call.Response, error) {
+				resp := &call.Response{Status: 200, ContentLength: -1, Body: io.NopCloser(strings.NewReader("body"))}
+				if inTrailer {
+					resp.Trailer = field
+				} else {
+					resp.Header = field
+				}
+				return resp, nil
+			}))
+			resp, err := doer.Do(t.Context(), &call.Request{ID: "r"})
+			if inTrailer {
+				require.NoError(t, err)
+				_, err = io.ReadAll(resp.Body)
+			}
+			require.Equal(t, errkind.OutcomeUnknown, errkind.Of(err), "%q: %v", field, err)
+		}
+	}
+}
