backend: reject malformed trailers

A trailer field whose name holds a blank was passed on to the caller, as was an announced one.

Cause: net/http reads trailers as leniently as heads, and they are behind the part of a response that package httphead checks.

Change: the names and values of trailers are checked at the end of the body, those of announced ones with the head. Such a body ends with an error, which every further read returns. Package egress passes no trailers on and stays as it is.

Evidence: TestMalformedTrailerIsAnError fails without the change and passes with it, under the race detector too.

--- a/backend/client.go
+++ b/backend/client.go
@@ -168,8 +168,8 @@
 	return false
 }
 
-// checkFraming rejects protocol switches, and responses whose end cannot be
-// distinguished from a broken connection.
+// checkFraming rejects protocol switches, responses whose end cannot be
+// distinguished from a broken connection, and announced trailers that are no fields.
 func checkFraming(method string, resp *http.Response) error {
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return errors.New("unexpected protocol switch: status 101")
@@ -179,7 +179,7 @@
 	if !bodyless && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return errors.New("response body has neither Content-Length nor chunked encoding")
 	}
-	return nil
+	return call.CheckHeader(resp.Trailer)
 }
 
 // classify determines the failure point of an attempt that received no response
--- a/backend/malformed_test.go
+++ b/backend/malformed_test.go
@@ -129,3 +129,23 @@
 		c.Close()
 	}
 }
+
+// Guards against a trailer with a malformed field that is passed on.
+func TestMalformedTrailerIsAnError(t *testing.T) {
+	for _, field := range []string{"X Y: a", "X : a", " X: a", "X\x01: a", "X\t: a", "\x00", "X"} {
+		resp, err := sendAfter(t, okHead+"Trailer: X\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"+field+"\r\n\r\n", false)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		require.Equal(t, errkind.OutcomeUnknown, errkind.Of(err), "field %q: %v", field, err)
+		_, err = resp.Body.Read(make([]byte, 1))
+		require.Equal(t, errkind.OutcomeUnknown, errkind.Of(err), "field %q, second read: %v", field, err)
+		require.NoError(t, resp.Body.Close())
+	}
+	_, err := sendAfter(t, okHead+"Trailer: X Y\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", false)
+	require.Equal(t, errkind.OutcomeUnknown, errkind.Of(err))
+	resp, err := sendAfter(t, okHead+"Trailer: X\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX: a\r\n\r\n", false)
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, http.Header{"X": {"a"}}, resp.Trailer)
+}
--- a/backend/message.go
+++ b/backend/message.go
@@ -197,25 +197,44 @@
 	resp *http.Response
 	out  *call.Response
 	done bool
+	// err is the error that ended the body, other than io.EOF.
+	err error
 }
 
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
+	if b.err != nil {
+		return 0, b.err
+	}
 	n, err := b.resp.Body.Read(p)
 	switch {
 	case err == nil:
 	case err == io.EOF:
-		if !b.done {
-			b.done = true
-			b.out.Trailer = cleanTrailer(b.resp.Trailer)
-			b.ex.finish()
-		}
+		err = b.end()
 	default:
-		err = b.fail(err)
+		b.err = b.fail(err)
+		err = b.err
 	}
 	return n, err
 }
 
+// end takes the trailer and ends the exchange. It returns io.EOF, or an error if the
+// trailer cannot be passed on: net/http accepts names with blanks.
+func (b *responseBody) end() error {
+	if b.done {
+		return io.EOF
+	}
+	if err := call.CheckHeader(b.resp.Trailer); err != nil {
+		b.err = execution.Fail(execution.ServerBody, errkind.OutcomeUnknown, "the trailer of the backend server is not usable", err)
+		b.ex.att.retireConn()
+		return b.err
+	}
+	b.done = true
+	b.out.Trailer = cleanTrailer(b.resp.Trailer)
+	b.ex.finish()
+	return io.EOF
+}
+
 func (b *responseBody) fail(err error) error {
 	if b.ex.ctx.Err() != nil {
 		return dispatchedError(b.ex.ctx, err)
