httphead: reject a body that is framed in contradictory ways

Callers saw a body that was not the server's: the framing of the chunks was a part of it if the response was of HTTP/1.0, and a response with both a Transfer-Encoding and a Content-Length got one of two bodies.

Cause: net/http ignores a Transfer-Encoding in HTTP/1.0, and a Content-Length beside a Transfer-Encoding. RFC 9112, 6.1 and 6.3, asks to treat both as faulty.

Change: package httphead, and with it all clients that use it, rejects both at the end of the head. Other contradictions (several lengths, unknown codings, malformed chunks) were rejected before; their tests are new and kept.

Evidence: TestContradictoryFramingIsRejected and TestResponseWithContradictory- FramingIsBroken fail without the change and pass with it; TestBodyWithMalformed- FramingIsBroken passed before.

--- a/egress/malformed_test.go
+++ b/egress/malformed_test.go
@@ -197,3 +197,66 @@
 		})
 	}
 }
+
+// Guards against a body that a server and net/http frame differently: the caller got the
+// framing of the chunks as a part of the body, or one of two bodies.
+func TestResponseWithContradictoryFramingIsBroken(t *testing.T) {
+	const encoded = "4\r\nbody\r\n0\r\n\r\n"
+	for _, response := range []string{
+		"HTTP/1.0 200 OK\r\nRequest-Id: a\r\nSeal: x\r\nTransfer-Encoding: chunked\r\n\r\n" + encoded,
+		"HTTP/1.0 200 OK\r\nRequest-Id: a\r\nSeal: x\r\nTransfer-Encoding: chunked\r\nContent-Length: 14\r\n\r\n" + encoded,
+		okResponse("a", "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n", encoded),
+		okResponse("a", "Content-Length: 14\r\nTransfer-Encoding: chunked\r\n", encoded),
+		okResponse("a", "Content-Length: 4\r\nContent-Length: 5\r\n", "body."),
+		okResponse("a", "Content-Length: 4, 4\r\n", "body"),
+		okResponse("a", "Content-Length: -4\r\n", "body"),
+		okResponse("a", "Content-Length: +4\r\n", "body"),
+		okResponse("a", "Content-Length: 0x4\r\n", "body"),
+		okResponse("a", "Content-Length: 4 4\r\n", "body"),
+		okResponse("a", "Content-Length: 99999999999999999999\r\n", "body"),
+		okResponse("a", "Transfer-Encoding: gzip, chunked\r\n", encoded),
+		okResponse("a", "Transfer-Encoding: chunked, chunked\r\n", encoded),
+		okResponse("a", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", encoded),
+		okResponse("a", "Transfer-Encoding: identity\r\n", "body"),
+		okResponse("a", "Transfer-Encoding:\r\n", "body"),
+	} {
+		for _, kept := range []bool{false, true} {
+			_, _, err := exchangeOnce(t, response, kept)
+			var f *Failure
+			require.ErrorAs(t, err, &f, "%q", response)
+			require.True(t, f.MayHaveRun)
+		}
+	}
+}
+
+// Guards against a body whose framing breaks off or is malformed and that looks complete.
+func TestBodyWithMalformedFramingIsBroken(t *testing.T) {
+	for _, response := range []string{
+		okResponse("a", "Content-Length: 5\r\n", "body"),
+		okResponse("a", "Content-Length: 100000\r\n", strings.Repeat("x", 99999)),
+		okResponse("a", "Transfer-Encoding: chunked\r\n", ""),
+		okResponse("a", "Transfer-Encoding: chunked\r\n", "4\r\nbody\r\n"),
+		okResponse("a", "Transfer-Encoding: chunked\r\n", "4\r\nbody\r\n0"),
+		okResponse("a", "Transfer-Encoding: chunked\r\n", "4\r\nbody\r\n0\r\n"),
+		okResponse("a", "Transfer-Encoding: chunked\r\n", "4\r\nbody\r\n0\r\nX: a\r\n"),
+		okResponse("a", "Transfer-Encoding: chunked\r\n", "4\r\nbody0\r\n\r\n"),
+		okResponse("a", "Transfer-Encoding: chunked\r\n", "5\r\nbody\r\n0\r\n\r\n"),
+		okResponse("a", "Transfer-Encoding: chunked\r\n", "3\r\nbody\r\n0\r\n\r\n"),
+		okResponse("a", "Transfer-Encoding: chunked\r\n", "-4\r\nbody\r\n0\r\n\r\n"),
+		okResponse("a", "Transfer-Encoding: chunked\r\n", "4x\r\nbody\r\n0\r\n\r\n"),
+		okResponse("a", "Transfer-Encoding: chunked\r\n", "\r\nbody\r\n0\r\n\r\n"),
+		okResponse("a", "Transfer-Encoding: chunked\r\n", "4\nbody\n0\n\n"),
+		okResponse("a", "Transfer-Encoding: chunked\r\n", "10000000000000004\r\nbody\r\n0\r\n\r\n"),
+		okResponse("a", "Transfer-Encoding: chunked\r\n", "4\r\nbody\r\n0\r\nX\x01: a\r\n\r\n"),
+	} {
+		for _, kept := range []bool{false, true} {
+			c, resp, err := exchangeOnce(t, response, kept)
+			require.NoError(t, err, "%q", response)
+			_, err = io.Copy(io.Discard, resp.Body)
+			require.Error(t, err, "%q", response)
+			require.NoError(t, resp.Body.Close())
+			open, _ := c.Connections()
+			require.Zero(t, open)
+		}
+	}
+}
--- a/internal/httphead/checker.go
+++ b/internal/httphead/checker.go
@@ -1,7 +1,8 @@
 // Package httphead checks the heads of HTTP/1.x responses byte by byte. net/http accepts
 // some that are malformed: a name with a blank, a line that begins with a blank, and lines
 // that end in different ways. It passes such a field on under another name or as a part of
-// another field, and misses it if it frames the body.
+// another field, and misses it if it frames the body. It also accepts a body that is framed
+// in two ways, or in a way that its version of HTTP does not have.
 package httphead
 
 import (
@@ -22,8 +23,18 @@
 	behindHead
 )
 
-// statusClassOffset is the place of the first digit of the status in a status line.
-const statusClassOffset = len("HTTP/1.1 ")
+// minorVersionOffset and statusClassOffset are the places of the last digit of the version
+// and of the first one of the status in a status line.
+const (
+	minorVersionOffset = len("HTTP/1.")
+	statusClassOffset  = len("HTTP/1.1 ")
+)
+
+// The fields that frame a body.
+const (
+	contentLength    = "content-length"
+	transferEncoding = "transfer-encoding"
+)
 
 // Checker checks a response until its head is complete, together with the informational
 // responses before it. The zero value expects the first byte of a response.
@@ -31,8 +42,13 @@
 	part part
 	// offset is the number of bytes of the current status line or name.
 	offset int
-	// informational says that the status of the current head is 1xx.
-	informational bool
+	// name holds the first bytes of the current name, in lower case.
+	name [len(transferEncoding)]byte
+	// http10 and informational say that the version of the current head is HTTP/1.0, and
+	// its status 1xx.
+	http10, informational bool
+	// hasLength and hasEncoding say that the head has a field of that name.
+	hasLength, hasEncoding bool
 	// bareLF says that the status line ended with LF alone, as the other lines must then.
 	bareLF bool
 	// afterCR says that the last byte was CR.
@@ -77,7 +93,10 @@
 		return c.nameByte(b)
 	}
 	if c.part == statusLine {
-		if c.offset == statusClassOffset {
+		switch c.offset {
+		case minorVersionOffset:
+			c.http10 = b == '0'
+		case statusClassOffset:
 			c.informational = b == '1'
 		}
 		c.offset++
@@ -93,16 +112,33 @@
 	switch {
 	case b == ':' && c.offset > 0:
 		c.part = fieldValue
+		c.recordFraming()
 	case b == ':':
 		return errors.New("head of the response has a field without a name")
 	case !httpguts.IsTokenRune(rune(b)):
 		return errors.Errorf("name of a field of the response has the byte %q", b)
 	default:
+		if c.offset < len(c.name) {
+			c.name[c.offset] = lower(b)
+		}
 		c.offset++
 	}
 	return nil
 }
 
+// recordFraming records that the head has the current name, if that frames a body.
+func (c *Checker) recordFraming() {
+	if c.offset > len(c.name) {
+		return
+	}
+	switch string(c.name[:c.offset]) {
+	case contentLength:
+		c.hasLength = true
+	case transferEncoding:
+		c.hasEncoding = true
+	}
+}
+
 // endLine takes the LF at the end of a line.
 func (c *Checker) endLine() error {
 	bareLF := !c.afterCR
@@ -123,6 +159,12 @@
 
 // endHead takes the end of the empty line behind the fields.
 func (c *Checker) endHead() error {
+	switch {
+	case c.hasEncoding && c.http10:
+		return errors.New("response of HTTP/1.0 has a Transfer-Encoding")
+	case c.hasEncoding && c.hasLength:
+		return errors.New("response has both a Transfer-Encoding and a Content-Length")
+	}
 	if c.informational {
 		*c = Checker{}
 	} else {
@@ -131,5 +173,12 @@
 	return nil
 }
 
+func lower(b byte) byte {
+	if 'A' <= b && b <= 'Z' {
+		return b + 'a' - 'A'
+	}
+	return b
+}
+
 // isControl reports whether b is a control byte that no line of a head may have.
 func isControl(b byte) bool { return b < ' ' && b != '\t' || b == 0x7f }
--- a/internal/httphead/checker_test.go
+++ b/internal/httphead/checker_test.go
@@ -97,6 +97,30 @@
 	}
 }
 
+// Guards against a body with two ends, and against one whose chunks net/http does not
+// decode, since HTTP/1.0 has none.
+func TestContradictoryFramingIsRejected(t *testing.T) {
+	for text, sound := range map[string]bool{
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n":                           false,
+		"HTTP/1.1 200 OK\r\ncontent-length: 4\r\nX: a\r\nTRANSFER-encoding: chunked\r\n\r\n":                   false,
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n":                                                false,
+		"HTTP/1.1 103 Early Hints\r\nContent-Length: 4\r\n\r\nHTTP/1.0 200 OK\r\nTransfer-Encoding: a\r\n\r\n": false,
+		"HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: a\r\n\r\n": true,
+		"HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\n":                                                         true,
+		"HTTP/1.0 200 OK\r\nX: Transfer-Encoding: chunked\r\n\r\n":                                             true,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding-X: a\r\nContent-Length: 4\r\n\r\n":                               true,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Content-Length: 4\r\n\r\n":                         true,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nContent-Length: 4\r\n\r\n":                       true,
+	} {
+		var c Checker
+		n, err := c.Check([]byte(text))
+		require.Equal(t, sound, err == nil, "%q: %v", text, err)
+		if !sound {
+			require.Less(t, n, len(text))
+		}
+	}
+}
+
 // Guards against a head that is accepted although net/http reads other fields in it, and
 // against an error that depends on the sizes of the reads.
 func FuzzChecker(f *testing.F) {
