--- a/egress/malformed_test.go
+++ b/egress/malformed_test.go
@@ -260,3 +260,31 @@
 		}
 	}
 }
+
+// Guards against a response that loses the mark of its server, its id or its coding,
+// because it names that field as one of the connection alone.
+func TestResponseThatWithdrawsItsFieldsIsBroken(t *testing.T) {
+	for connection, sound := range map[string]bool{
+		"Connection: Seal\r\n": false,
+		// net/http drops the whole field, so that the mark is passed on.
+		"Connection: close, seal\r\n":                                true,
+		"connection: keep-alive\r\nConnection: x,SEAL\r\n":           false,
+		"Connection: Request-Id\r\n":                                 false,
+		"Connection: Content-Encoding\r\nContent-Encoding: gzip\r\n": false,
+		"Connection: close\r\n":                                      true,
+		"Connection: X-Hop\r\nX-Hop: a\r\n":                          true,
+	} {
+		_, resp, err := exchangeOnce(t, okResponse("a", connection+"Content-Length: 4\r\n", "body"), false)
+		if !sound {
+			var f *Failure
+			require.ErrorAs(t, err, &f, "%q", connection)
+			require.True(t, f.MayHaveRun)
+			continue
+		}
+		require.NoError(t, err)
+		require.Equal(t, "body", readAll(t, resp))
+		require.Equal(t, []string{"x"}, resp.Header["Seal"])
+		require.Equal(t, []string{"a"}, resp.Header["Request-Id"])
+		require.Empty(t, resp.Header["X-Hop"])
+	}
+}
