ingress: an answer without a length that broke off looked complete

Callers saw: a part of an answer without a length as the whole answer, if they read slowly and the rest could not be written within its time, or if the process was killed while it wrote the answer.

Cause: the close of the connection marks the end of such an answer. Only a failure of its source reset the connection. After a failed write it was closed in the ordinary way, and so does the kernel with the connections of a process that ends.

Change: from the head of such an answer to its complete end, a close of the connection resets it (SO_LINGER 0), also at the end of the process.

Evidence: TestCloseDelimitedBodyIsResetForASlowReader and TestCloseDelimitedBody- IsResetByTheEndOfTheProcess fail without the change (the caller sees an ordinary end) and pass with it; package ingress passes under the race detector.

--- a/ingress/linger.go
+++ b/ingress/linger.go
@@ -17,9 +17,6 @@
 func (c *conn) linger() (ids []string, unread int64) {
 	defer func() { _ = c.nc.Close() }()
 	if c.reset.Load() {
-		if nc, ok := c.nc.(interface{ SetLinger(sec int) error }); ok {
-			_ = nc.SetLinger(0)
-		}
 		return nil, 0
 	}
 	nc, ok := c.nc.(interface{ CloseWrite() error })
--- a/ingress/write.go
+++ b/ingress/write.go
@@ -85,19 +85,44 @@
 	if !hasBody(p, resp) {
 		return bw.Flush()
 	}
-	if resp.Stream != nil {
-		resp.Stream = newTakeover(resp.Stream, c)
+	if unframed {
+		// An ordinary close would make what has been written look complete.
+		c.resetOnClose(true)
 	}
-	switch {
-	case resp.Stream == nil:
+	err := c.writeBody(bw, resp, unframed)
+	if unframed && err == nil {
+		c.resetOnClose(false)
+	}
+	return err
+}
+
+func (c *conn) writeBody(bw *bufio.Writer, resp *Response, unframed bool) error {
+	if resp.Stream == nil {
 		_, _ = bw.Write(resp.Body)
 		return bw.Flush()
-	case unframed:
+	}
+	resp.Stream = newTakeover(resp.Stream, c)
+	if unframed {
 		return c.writeUnframed(bw, resp.Stream)
 	}
 	return c.writeStream(bw, resp)
 }
 
+// resetOnClose sets whether the close of the connection resets it, also at the end of the
+// process.
+func (c *conn) resetOnClose(reset bool) {
+	c.reset.Store(reset)
+	nc, ok := c.nc.(interface{ SetLinger(sec int) error })
+	if !ok {
+		return
+	}
+	seconds := -1
+	if reset {
+		seconds = 0
+	}
+	_ = nc.SetLinger(seconds)
+}
+
 // hasBody reports whether the response to p has a body.
 func hasBody(p *pendingResponse, resp *Response) bool {
 	return p.method != http.MethodHead && resp.Status != http.StatusNoContent && resp.Status != http.StatusNotModified
@@ -131,8 +156,7 @@
 }
 
 // writeUnframed copies a streamed body whose end is marked by the close of the
-// connection. If its source fails, the connection is reset, so that the caller can
-// tell that the body is incomplete.
+// connection.
 func (c *conn) writeUnframed(bw *bufio.Writer, source io.Reader) error {
 	buf := make([]byte, bufferBytes)
 	pace := writePace{rate: c.callers.AnswerRate}
@@ -147,7 +171,6 @@
 			return nil
 		}
 		if err != nil {
-			c.reset.Store(true)
 			return sourceError{err}
 		}
 	}
