--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -42,6 +42,9 @@
 const (
 	headBytes = 16 << 10
 	bodyBytes = 1 << 20
+	// maxOrdinaryBytes is far beyond the answer to an ordinary request. A faulty server
+	// may answer it without end.
+	maxOrdinaryBytes = 64 << 10
 )
 
 var nodeBinary string
@@ -68,6 +71,7 @@
 	front, ready, metrics string
 	log                   string
 	store                 *site.Store
+	servers               []*site.Server
 	// storeFault, unless nil, answers the calls to the store.
 	storeFault atomic.Pointer[http.HandlerFunc]
 }
@@ -94,6 +98,7 @@
 		require.NoError(t, s.Start())
 		t.Cleanup(s.Kill)
 		store.Put("servers", s.ID, s.StoreEntry())
+		v.servers = append(v.servers, s)
 	}
 	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if fault := v.storeFault.Load(); fault != nil {
@@ -140,12 +145,12 @@
 			last = err.Error()
 			continue
 		}
-		body, err := io.ReadAll(resp.Body)
+		body, err := io.ReadAll(io.LimitReader(resp.Body, maxOrdinaryBytes))
 		_ = resp.Body.Close()
-		if err == nil && resp.StatusCode == http.StatusOK {
+		if err == nil && resp.StatusCode == http.StatusOK && len(body) < maxOrdinaryBytes {
 			return
 		}
-		last = fmt.Sprint(resp.Status, " ", string(body), " ", err)
+		last = fmt.Sprint(resp.Status, " ", string(body[:min(len(body), 1000)]), " ", err)
 	}
 	require.Fail(v.t, "no ordinary request is answered", "last: %s; running: %v; end of the log:\n%s", last, v.proc.Running(), v.logEnd())
 }
