peer: a sound response was lost between VMs if a field was no UTF-8

Callers saw outcome_unknown for a request that had run and been answered, if a header field of its answer had a byte beyond ASCII that is no UTF-8, and if the home VM was another one than theirs. HTTP allows such values. The same held for fields of requests.

Cause: values of fields are carried as protobuf strings, which must be UTF-8, so that encoding the message failed.

Change: they are carried as bytes, which have the same encoding.

--- a/peer/forward_test.go
+++ b/peer/forward_test.go
@@ -199,3 +199,22 @@
 		}
 	}
 }
+
+// Guards against a sound response, or a request, that is lost between VMs since a value of
+// a field is no UTF-8, as HTTP allows.
+func TestForwardPreservesBytesOfFields(t *testing.T) {
+	values := []string{"", "\xe4\xf6\xfc", "a\t\xff", "ä"}
+	doer, _ := startHome(t, call.DoerFunc(func(_ context.Context, req *call.Request) (*call.Response, error) {
+		return &call.Response{
+			Status: 200, Header: http.Header{"X-Echo": req.Header["X-In"]}, ContentLength: -1,
+			Body: io.NopCloser(strings.NewReader("body")), Trailer: http.Header{"X-Trailer": values},
+		}, nil
+	}))
+	resp, err := doer.Do(t.Context(), &call.Request{ID: "r", Header: http.Header{"X-In": values}})
+	require.NoError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, "body", string(body))
+	require.Equal(t, values, resp.Header["X-Echo"])
+	require.Equal(t, values, resp.Trailer["X-Trailer"])
+}
--- a/peer/frames.go
+++ b/peer/frames.go
@@ -60,7 +60,11 @@
 func encodeHeader(h http.Header) []*peerpb.Header {
 	fields := make([]*peerpb.Header, 0, len(h))
 	for name, values := range h {
-		fields = append(fields, &peerpb.Header{Name: name, Values: values})
+		f := &peerpb.Header{Name: name, Values: make([][]byte, len(values))}
+		for i, v := range values {
+			f.Values[i] = []byte(v)
+		}
+		fields = append(fields, f)
 	}
 	return fields
 }
@@ -68,7 +72,11 @@
 func decodeHeader(fields []*peerpb.Header) http.Header {
 	h := make(http.Header, len(fields))
 	for _, f := range fields {
-		h[f.GetName()] = f.GetValues()
+		values := make([]string, len(f.GetValues()))
+		for i, v := range f.GetValues() {
+			values[i] = string(v)
+		}
+		h[f.GetName()] = values
 	}
 	return h
 }
