egress: test of framed responses whose connection is reset behind them

A response with a length or in chunks is complete at its last byte, also if the server resets the connection during the upload.

--- a/egress/reset_test.go
+++ b/egress/reset_test.go
@@ -238,3 +238,26 @@
 		}
 	}
 }
+
+// Guards against losing a response whose framing shows that it is complete, because its
+// server resets the connection right behind it.
+func TestFramedResponseOutlivesAReset(t *testing.T) {
+	want := strings.Repeat("the whole body", 4<<10)
+	for _, framing := range []string{
+		"Content-Length: " + strconv.Itoa(len(want)) + "\r\n\r\n" + want,
+		"Transfer-Encoding: chunked\r\n\r\n" + chunks(want, 1000) + "0\r\n\r\n",
+	} {
+		for _, length := range []int64{64 << 20, -1} {
+			s := &earlyAnswer{response: "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nSeal: x\r\n" + framing, end: resetConn}
+			target := s.start(t)
+			body := newUpload(256<<10, 64<<20)
+			resp, err := New(testHeaders).Do(t.Context(), target, uploadRequest(length, body))
+			require.NoError(t, err)
+			close(s.proceed)
+			<-s.ended
+			close(body.resume)
+			require.Equal(t, want, readAll(t, resp))
+			require.NoError(t, resp.Body.Close())
+		}
+	}
+}
