backend: reject a response that withdraws its coding

Callers of godwitlock's own interface saw an encoded body without its coding, if the response named Content-Encoding in its Connection field.

Cause: as in package egress, fields that Connection names are removed before a response is passed on.

Change: the check of package egress moves to call.CheckConnection and is made here, too. The id of a response is set anew here, and there is no mark.

Evidence: TestResponseThatWithdrawsItsCodingIsBroken fails without the change and passes with it.

--- a/backend/client.go
+++ b/backend/client.go
@@ -149,7 +149,7 @@
 		return nil, execution.Fail(execution.ServerNotRun, errkind.ServerRefused,
 			"the backend server refused the request", errors.Errorf("status %d", resp.StatusCode))
 	}
-	if err := checkFraming(req.Method, resp); err != nil {
+	if err := checkMessage(req.Method, resp); err != nil {
 		ex.abandon(resp)
 		return nil, execution.Fail(execution.ServerHead, errkind.OutcomeUnknown,
 			"the response of the backend server is not usable", err)
@@ -168,9 +168,10 @@
 	return false
 }
 
-// checkFraming rejects protocol switches, responses whose end cannot be
-// distinguished from a broken connection, and announced trailers that are no fields.
-func checkFraming(method string, resp *http.Response) error {
+// checkMessage rejects protocol switches, responses whose end cannot be
+// distinguished from a broken connection or whose coding would be lost, and
+// announced trailers that are no fields.
+func checkMessage(method string, resp *http.Response) error {
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return errors.New("unexpected protocol switch: status 101")
 	}
@@ -179,6 +180,9 @@
 	if !bodyless && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return errors.New("response body has neither Content-Length nor chunked encoding")
 	}
+	if err := call.CheckConnection(resp.Header, "Content-Encoding"); err != nil {
+		return err
+	}
 	return call.CheckHeader(resp.Trailer)
 }
 
--- a/backend/malformed_test.go
+++ b/backend/malformed_test.go
@@ -149,3 +149,15 @@
 	require.NoError(t, err)
 	require.Equal(t, http.Header{"X": {"a"}}, resp.Trailer)
 }
+
+// Guards against an encoded body that is passed on without its coding, because the
+// response names that field as one of the connection alone.
+func TestResponseThatWithdrawsItsCodingIsBroken(t *testing.T) {
+	_, err := sendAfter(t, okHead+"Connection: Content-Encoding\r\nContent-Encoding: gzip\r\nContent-Length: 4\r\n\r\nbody", false)
+	require.Equal(t, errkind.OutcomeUnknown, errkind.Of(err))
+	resp, err := sendAfter(t, okHead+"Connection: X-Hop\r\nX-Hop: a\r\nContent-Encoding: gzip\r\nContent-Length: 4\r\n\r\nbody", false)
+	require.NoError(t, err)
+	require.Equal(t, []string{"gzip"}, resp.Header["Content-Encoding"])
+	require.Empty(t, resp.Header["X-Hop"])
+	require.NoError(t, resp.Body.Close())
+}
--- a/call/call.go
+++ b/call/call.go
@@ -106,6 +106,18 @@
 // response with another one is broken, and its request may have run.
 func ValidStatus(status int) bool { return status >= 200 && status <= 599 }
 
+// CheckConnection returns an error if the Connection field of a response names one of
+// fields. Such a field is not passed on, but the caller needs these to tell whose response
+// it is and how its body is encoded.
+func CheckConnection(h http.Header, fields ...string) error {
+	for _, name := range fields {
+		if httpguts.HeaderValuesContainsToken(h["Connection"], name) {
+			return errors.Errorf("field Connection of the response names the end-to-end field %s", name)
+		}
+	}
+	return nil
+}
+
 // CheckHeader returns an error if a field of a response cannot be passed on: its name is
 // no token, or its value holds a control byte.
 func CheckHeader(h http.Header) error {
--- a/egress/head.go
+++ b/egress/head.go
@@ -5,8 +5,8 @@
 	"net/http"
 
 	"github.com/juju/errors"
-	"golang.org/x/net/http/httpguts"
 
+	"godwitlock.example/godwitlock/call"
 	"godwitlock.example/godwitlock/internal/readlimit"
 )
 
@@ -21,7 +21,7 @@
 		cn.notice(h, resp)
 		got := resp.Header[h.RequestID]
 		if len(got) == 1 && got[0] == req.ID {
-			return resp, checkEndToEnd(h, resp)
+			return resp, call.CheckConnection(resp.Header, h.RequestID, h.Seal, "Content-Encoding")
 		}
 		if len(got) == 0 {
 			return cn.matchWithoutID(h, resp)
@@ -38,17 +38,6 @@
 	return nil, errUnmatchedResponse
 }
 
-// checkEndToEnd rejects a response whose Connection field names one that the caller needs
-// to tell whose response it is and how its body is encoded. Such a field is not passed on.
-func checkEndToEnd(h *Headers, resp *http.Response) error {
-	for _, name := range []string{h.RequestID, h.Seal, "Content-Encoding"} {
-		if httpguts.HeaderValuesContainsToken(resp.Header["Connection"], name) {
-			return errors.Errorf("field Connection of the response names the end-to-end field %s", name)
-		}
-	}
-	return nil
-}
-
 // matchWithoutID accepts the refusal of a server that could not read the request
 // and thus returns no ID. On a connection that has carried an earlier exchange, it
 // may be a further response to an earlier request, so it says nothing about the
--- a/internal/httphead/checker.go
+++ b/internal/httphead/checker.go
@@ -19,7 +19,7 @@
 	lineStart
 	fieldName
 	fieldValue
-	// behindHead are the body and what follows it.
+	// behindHead stands for the body and what follows it.
 	behindHead
 )
 
@@ -58,7 +58,7 @@
 
 // Check takes the next bytes of a response. It returns how many of them precede the first
 // byte that does not belong in a head, and an error if there is such a byte. Each further
-// call returns that error.
+// call returns that error. Bytes behind the head are accepted as they are.
 func (c *Checker) Check(p []byte) (int, error) {
 	for i, b := range p {
 		if c.err == nil && c.part == behindHead {
--- a/internal/httphead/conn.go
+++ b/internal/httphead/conn.go
@@ -19,7 +19,7 @@
 func NewReader(r io.Reader) *Reader { return &Reader{r: r} }
 
 // ExpectResponse makes buffered, which was read before, and the bytes of the next read the
-// begin of a response.
+// start of a response.
 func (r *Reader) ExpectResponse(buffered []byte) error {
 	if err := r.Err(); err != nil {
 		return err
@@ -76,6 +76,7 @@
 func (c *Conn) ExpectResponse() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	// Read returns the error of an earlier response.
 	_ = c.reader.ExpectResponse(nil)
 }
 
