ingress: a caller that was still sending could miss a reset

Callers saw: an answer of over 16 kB without a length broke off while the caller was sending a long request. The caller got that part as the whole answer.

Cause: only a reset of the caller's connection tells that such an answer is incomplete. The caller's system reports it once, too: its write may meet the reset, and its read sees an ordinary end.

Change: while a streamed request body has not been read to its end, an answer without a length is held back until it is complete, as answers with others behind them are, and a 502 replaces one that breaks off. If it does not fit into the bounds for that, it is written in chunks, whose end shows. The first byte of such an answer comes later.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -65,6 +65,8 @@
 	// restIsBody is set by readLoop when the rest of the received bytes belongs
 	// to a refused request or to a streamed body.
 	restIsBody bool
+	// uploading says that a streamed body has not been read to its end.
+	uploading atomic.Bool
 	// writerDone is closed when writeLoop returns.
 	writerDone chan struct{}
 	// writeEnded is set when no further response will be written.
--- a/ingress/read.go
+++ b/ingress/read.go
@@ -157,7 +157,7 @@
 	c.setReadDeadline(time.Now().Add(c.callers.BodyTime))
 	source := http.MaxBytesReader(nil, hr.Body, limits.BodyBytes)
 	if hr.ContentLength > maxBufferedBodyBytes {
-		req.Stream, req.Length = &bodyReader{c: c, r: source, began: time.Now()}, hr.ContentLength
+		req.Stream, req.Length = newBodyReader(c, source), hr.ContentLength
 		return req, nil, nil
 	}
 	data, err := c.bufferBody(source, hr.ContentLength, held)
@@ -178,7 +178,7 @@
 		req.Body = data
 		return req, nil, nil
 	}
-	rest := &bodyReader{c: c, r: source, began: time.Now()}
+	rest := newBodyReader(c, source)
 	req.Stream, req.Length = io.MultiReader(bytes.NewReader(data), rest), hr.ContentLength
 	return req, nil, nil
 }
@@ -226,6 +226,11 @@
 	read  int64
 }
 
+func newBodyReader(c *conn, r io.Reader) *bodyReader {
+	c.uploading.Store(true)
+	return &bodyReader{c: c, r: r, began: time.Now()}
+}
+
 func (b *bodyReader) Read(p []byte) (int, error) {
 	now := time.Now()
 	if !b.ended.IsZero() {
@@ -239,5 +244,8 @@
 	n, err := b.r.Read(p)
 	b.read += int64(n)
 	b.ended = time.Now()
+	if err == io.EOF {
+		b.c.uploading.Store(false)
+	}
 	return n, err
 }
--- a/ingress/readahead.go
+++ b/ingress/readahead.go
@@ -189,8 +189,16 @@
 // are such, it is read to its end first, and replaced if it breaks off. One that is too long
 // for that, or that has nothing behind it, is written as it arrives, and no request is
 // started behind it until it has been written.
+//
+// An answer without a length is read to its end first, too, while its caller is sending the
+// request: a reset of the connection may be reported to the caller's write, so that its read
+// sees an ordinary end. One that is too long for that is written in chunks.
 func (c *conn) holdBack(p *pendingResponse, resp *Response) *Response {
-	if resp.Stream == nil || resp.Abort || !hasBody(p, resp) || c.state.beginStream(false) {
+	if resp.Stream == nil || resp.Abort || !hasBody(p, resp) {
+		return resp
+	}
+	resetMayBeMissed := resp.CloseDelimited && c.uploading.Load()
+	if !resetMayBeMissed && c.state.beginStream(false) {
 		return resp
 	}
 	ahead, ok := resp.Stream.(*readAhead)
@@ -201,6 +209,7 @@
 	}
 	if !ahead.await(c.ctx, resp.Length, &c.srv.heldBack) {
 		c.state.beginStream(true)
+		resp.CloseDelimited = resp.CloseDelimited && !resetMayBeMissed
 	}
 	return answerable(resp)
 }
