--- a/backend/conn.go
+++ b/backend/conn.go
@@ -83,8 +83,8 @@
 	}
 }
 
-// begin accepts writes for attempt a from now on. If a is nil, all writes are
-// refused. It returns false if the connection is retired.
+// begin accepts writes for attempt a from now on, and expects its response next. If a is
+// nil, all writes are refused. It returns false if the connection is retired.
 func (c *conn) begin(a *attempt) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
