--- a/review/_rig2/failed503.go
+++ b/review/_rig2/failed503.go
@@ -126,6 +126,8 @@
 
 func playFailed503(r *rig, trouble bool) (bool, error) {
 	o := &orders{r: r, ran: map[string][]string{}, made: map[string]int{}, answer: map[int]int{}}
+	// Those of lumenfolha-gw-grown, where servers may fail a part of their requests.
+	r.contracts = `"base","drain","config","cost","retry","recover","health","pool","own","places","tenants","quota","platform"`
 	r.putConfig(1, []any{service("desk", false)}, []any{route("order", "/write/", "unsafe", "desk", orderTimeoutS)},
 		[]any{map[string]any{"name": "ten", "apiKeys": []string{"key1"}}})
 	for i := range orderServers {
--- a/review/_rig2/rig.go
+++ b/review/_rig2/rig.go
@@ -28,6 +28,8 @@
 	storeAddr string
 	procs     []*proc
 	begun     time.Time
+	// contracts are those of the site, as the settings have them.
+	contracts string
 
 	closing sync.Once
 	mu      sync.Mutex
@@ -53,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &rig{dir: dir, store: site.NewStore(), record: f, begun: time.Now()}
+	r := &rig{dir: dir, store: site.NewStore(), record: f, begun: time.Now(), contracts: `"base","drain","config","cost","retry","recover","own","places","tenants","quota","platform"`}
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -94,7 +96,7 @@
 internalPorts = [%s, %s]
 bootstrap = %t
 heartbeatS = 0.87
-contracts = ["base","drain","config","cost","retry","recover","own","places","tenants","quota","platform"]
+contracts = [%s]
 bounds = ["%s"]
 grants = "call"
 [zones]
@@ -116,7 +118,7 @@
 readsPerS = 2000
 historyS = 20
 valueBytes = 1048576
-`, name, zone, portOf(addrs[2]), portOf(addrs[3]), bootstrap, strings.Join(bounds, `","`), p.front, p.ready, r.storeAddr)
+`, name, zone, portOf(addrs[2]), portOf(addrs[3]), bootstrap, r.contracts, strings.Join(bounds, `","`), p.front, p.ready, r.storeAddr)
 	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
