review: case 6 with a cut of 5.5 s, the site file's limit

The cut of the script ended 5 s after the leader's restart and could outlast the largest node_cut of the site file.

--- a/review/_rig2/shorterhold.go
+++ b/review/_rig2/shorterhold.go
@@ -89,9 +89,9 @@
 const (
 	holdSample  = 20 * time.Millisecond
 	holdServers = 6
-	// cutFor is how long the server is cut off, and cutLead how long before the leader's
-	// planned stop that begins.
-	cutFor, cutLead = 8 * time.Second, 300 * time.Millisecond
+	// cutFor is how long the server is cut off, the largest length of node_cut in the
+	// site file, and cutLead how long before the leader's planned stop that begins.
+	cutFor, cutLead = 5500 * time.Millisecond, 300 * time.Millisecond
 	// maxOverlap is the bound of the rule.
 	maxOverlap = 500 * time.Millisecond
 )
@@ -240,10 +240,19 @@
 	if leader == nil {
 		return false, fmt.Errorf("there is no leader")
 	}
+	healed := make(chan error, 1)
 	if trouble {
 		r.note("i-0 is cut off from all VMs and the store (connections are reset and refused)")
+		began := time.Now()
 		links[0].cut()
 		lonely.Store(true)
+		time.AfterFunc(cutFor, func() {
+			lonely.Store(false)
+			healed <- links[0].heal()
+			r.note("the cut has ended after %v", time.Since(began).Round(time.Millisecond))
+		})
+	} else {
+		healed <- nil
 	}
 	time.Sleep(cutLead)
 	leader.signal(syscall.SIGTERM)
@@ -256,15 +265,10 @@
 	if err := leader.start(); err != nil {
 		return false, err
 	}
-	time.Sleep(cutFor - 3*time.Second)
-	if trouble {
-		r.note("the cut ends")
-		lonely.Store(false)
-		if err := links[0].heal(); err != nil {
-			return false, err
-		}
+	if err := <-healed; err != nil {
+		return false, err
 	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(4 * time.Second)
 	close(done)
 	close(stop)
 	d := <-longest
