forward: do not answer 503 for a server that began to work on the request

What callers saw: a backend server that fails unsafe requests with 503, without Not-Executed, after it began to work on them had that 503 passed on to its callers.

Cause: one row of the table of outcomes passed on any answer of 500 and above to a request that is not repeatable; 408 and 429 counted as ordinary answers.

Change: such an answer with a status that promises "not run" is an outcome of its own, FalseRefusal. The caller of a request that is not repeatable gets 502 outcome_unknown without the seal. Requests that may be repeated are answered as before.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -79,7 +79,7 @@
 		if r.hasBody && action != Relay {
 			// The body is streamed, and the attempt consumed it.
 			action = r.attempts.adjustAction(Refuse)
-			if res.outcome == AnswerLost || res.outcome == Failed {
+			if res.outcome.mayHaveRun() {
 				action = ReportUnknown
 			}
 		}
@@ -183,6 +183,11 @@
 	hadRoom bool
 }
 
+// serverError reports whether the answer says that the server failed the request.
+func (r *result) serverError() bool {
+	return r.resp != nil && r.resp.Status >= http.StatusInternalServerError
+}
+
 func (r *result) discard() {
 	if r.resp != nil {
 		_ = r.resp.Body.Close()
@@ -255,14 +260,14 @@
 func (f *Forwarder) readAnswer(ctx context.Context, r *request, server grantedServer, res *result) {
 	resp := res.resp
 	r.Progress.SetStage(ingress.AnswerBegun)
-	success := resp.Status >= 200 && resp.Status < 300
-	switch {
-	case success && !resp.Sealed:
-		res.outcome, res.reason = AnswerLost, "successful answer lacks the seal header that servers set"
-	case resp.Status >= 500:
-		res.outcome, res.reason = Failed, "server answered "+http.StatusText(resp.Status)
-	default:
-		res.outcome = Answered
+	res.outcome = outcomeOfAnswer(resp.Status, resp.Sealed, r.attempts.Repeatable)
+	switch res.outcome {
+	case AnswerLost:
+		res.reason = "successful answer lacks the seal header that servers set"
+	case Failed:
+		res.reason = "server answered " + http.StatusText(resp.Status)
+	case FalseRefusal:
+		res.reason = "server answered " + http.StatusText(resp.Status) + " without stating that the request did not run"
 	}
 	if res.outcome == AnswerLost {
 		_ = resp.Body.Close()
@@ -286,7 +291,7 @@
 		until, cause = end, endCause
 	}
 	extendDeadline(ctx, until, cause)
-	if res.outcome == Failed && r.attempts.Repeatable {
+	if res.outcome == FalseRefusal || res.outcome == Failed && r.attempts.Repeatable {
 		resp.LimitBodyTime(failureBodyTimeout)
 	}
 	var buf bytes.Buffer
@@ -298,7 +303,7 @@
 	}
 	_ = resp.Body.Close()
 	if err != nil {
-		f.finishFailed(r, server, permit.Result{Failed: res.outcome == Failed || r.failedByServer(ctx)}, res.serviceTime)
+		f.finishFailed(r, server, permit.Result{Failed: res.serverError() || r.failedByServer(ctx)}, res.serviceTime)
 		res.outcome, res.reason, res.resp = AnswerLost, "answer ended early: "+err.Error(), nil
 		return
 	}
@@ -306,7 +311,7 @@
 	if res.body == nil {
 		res.body = []byte{}
 	}
-	if res.outcome == Failed {
+	if res.serverError() {
 		f.finishFailed(r, server, permit.Result{Failed: true, Slowdown: slowdown(resp)}, res.serviceTime)
 		return
 	}
--- a/forward/decide.go
+++ b/forward/decide.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"net/http"
 	"time"
 
 	"godwitlock.example/godwitlock/errkind"
@@ -26,8 +27,39 @@
 	AnswerLost
 	// Failed: the server answered with a status of 500 or above.
 	Failed
+	// FalseRefusal: the server answered a request that is not repeatable with a status
+	// by which callers conclude that it did not run, without stating so itself. The
+	// request may have run.
+	FalseRefusal
 )
 
+// outcomeOfAnswer returns the outcome of an answer in which the server does not state
+// that it did not run the request.
+func outcomeOfAnswer(status int, sealed, repeatable bool) Outcome {
+	switch {
+	case status >= 200 && status < 300 && !sealed:
+		return AnswerLost
+	case !repeatable && promisesNotRun(status):
+		return FalseRefusal
+	case status >= http.StatusInternalServerError:
+		return Failed
+	}
+	return Answered
+}
+
+// promisesNotRun reports whether callers conclude from a status that the request did not
+// run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// mayHaveRun reports whether a request may have run in an attempt with outcome o.
+func (o Outcome) mayHaveRun() bool { return o == AnswerLost || o == Failed || o == FalseRefusal }
+
 // Action is the next step after an attempt, as it is written to the decision
 // log.
 type Action uint8
@@ -59,14 +91,16 @@
 }
 
 // rules maps each outcome to its rule. A request that is not repeatable is
-// sent again only when it certainly did not run.
+// sent again only when it certainly did not run, and its caller gets a status that
+// promises so in no other case.
 var rules = map[Outcome]rule{
-	Answered:   {repeatable: Relay, nonRepeatable: Relay, finalRepeatable: Relay, finalNonRepeatable: Relay},
-	Rejected:   {repeatable: Retry, nonRepeatable: Retry, usesRetryBudget: true, finalRepeatable: Refuse, finalNonRepeatable: Refuse},
-	NotOwner:   {repeatable: AwaitOwner, nonRepeatable: AwaitOwner, usesRetryBudget: true, finalRepeatable: Refuse, finalNonRepeatable: Refuse},
-	NotSent:    {repeatable: AwaitOwner, nonRepeatable: AwaitOwner, finalRepeatable: Refuse, finalNonRepeatable: Refuse},
-	AnswerLost: {repeatable: Retry, nonRepeatable: ReportUnknown, usesRetryBudget: true, finalRepeatable: ReportUnknown, finalNonRepeatable: ReportUnknown},
-	Failed:     {repeatable: Retry, nonRepeatable: Relay, usesRetryBudget: true, finalRepeatable: Relay, finalNonRepeatable: Relay},
+	Answered:     {repeatable: Relay, nonRepeatable: Relay, finalRepeatable: Relay, finalNonRepeatable: Relay},
+	Rejected:     {repeatable: Retry, nonRepeatable: Retry, usesRetryBudget: true, finalRepeatable: Refuse, finalNonRepeatable: Refuse},
+	NotOwner:     {repeatable: AwaitOwner, nonRepeatable: AwaitOwner, usesRetryBudget: true, finalRepeatable: Refuse, finalNonRepeatable: Refuse},
+	NotSent:      {repeatable: AwaitOwner, nonRepeatable: AwaitOwner, finalRepeatable: Refuse, finalNonRepeatable: Refuse},
+	AnswerLost:   {repeatable: Retry, nonRepeatable: ReportUnknown, usesRetryBudget: true, finalRepeatable: ReportUnknown, finalNonRepeatable: ReportUnknown},
+	Failed:       {repeatable: Retry, nonRepeatable: Relay, usesRetryBudget: true, finalRepeatable: Relay, finalNonRepeatable: Relay},
+	FalseRefusal: {repeatable: Retry, nonRepeatable: ReportUnknown, usesRetryBudget: true, finalRepeatable: Relay, finalNonRepeatable: ReportUnknown},
 }
 
 // Attempts tracks the attempts of one request and decides which action follows
@@ -100,7 +134,7 @@
 	} else {
 		a.sent++
 	}
-	if o == AnswerLost || o == Failed {
+	if o.mayHaveRun() {
 		a.mayHaveRun = true
 	}
 	action, final := r.nonRepeatable, r.finalNonRepeatable
--- a/forward/decide_test.go
+++ b/forward/decide_test.go
@@ -37,6 +37,8 @@
 		{"failed, repeatable", true, Failed, budgetLeft, Retry},
 		{"failed, repeatable, budget used up", true, Failed, budgetExhausted, Relay},
 		{"failed, not repeatable", false, Failed, budgetLeft, Relay},
+		{"false refusal, not repeatable", false, FalseRefusal, budgetLeft, ReportUnknown},
+		{"false refusal, not repeatable, budget used up", false, FalseRefusal, budgetExhausted, ReportUnknown},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			a := Attempts{Repeatable: c.repeatable, Max: 3, Deadline: start.Add(time.Second)}
--- a/forward/rollout.go
+++ b/forward/rollout.go
@@ -132,9 +132,8 @@
 	r.ticket = rollout.Ticket{}
 	o := Observation{Route: r.routeName(), ServiceTime: res.serviceTime}
 	switch res.outcome {
-	case Answered:
-	case Failed:
-		o.Bad = true
+	case Answered, Failed, FalseRefusal:
+		o.Bad = res.serverError()
 	case AnswerLost:
 		if !r.failedByServer(ctx) {
 			return
