platform, node: bound what is kept of a list, not what it contains

Until the first list no server is known, so each start failed.

Change: lists are read page by page and each object is handed to its reader (store.Scanner), which keeps only what it uses: the decoded servers, the configuration, the names of data centres out of service. The bound is as it was and counts what is kept. The time limit of 1.5 s is that of a page now; a list may take 10 s. The stand-in's store can end a page after a number of bytes.

TestListOfTheStoreIsBoundedByTheMemory and the tests of lists without end are unchanged.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -7,6 +7,7 @@
 
 import (
 	"time"
+	"unsafe"
 
 	"godwitlock.example/godwitlock/topo"
 )
@@ -51,6 +52,11 @@
 	return topo.Incarnation{Server: s.ID, StartedAtMs: s.StartedAtMs}
 }
 
+// Bytes returns the memory that the entry takes up, in bytes.
+func (s *Server) Bytes() int {
+	return int(unsafe.Sizeof(*s)) + len(s.ID) + len(s.Service) + len(s.DataCentre) + len(s.Addr) + len(s.Version)
+}
+
 // Cold reports whether the server is still warming up at now.
 func (s *Server) Cold(now time.Time) bool {
 	return s.ColdFor > 0 && now.Before(s.SeenAt.Add(s.ColdFor))
--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -69,7 +69,7 @@
 	t                     *testing.T
 	proc                  *nodeproc.Process
 	front, ready, metrics string
-	log                   string
+	log, settings         string
 	store                 *site.Store
 	servers               []*site.Server
 	// storeFault, unless nil, answers the calls to the store.
@@ -81,6 +81,7 @@
 func startVM(t *testing.T) *vm {
 	t.Helper()
 	store := site.NewStore()
+	store.PageBytes = 1 << 20
 	v := &vm{t: t, store: store}
 	route := func(name, prefix, kind string) map[string]any {
 		return map[string]any{"name": name, "host": "h", "pathPrefix": prefix, "kind": kind, "public": true,
@@ -119,17 +120,23 @@
 	}, site.Limits{RAMMb: memoryMB, MaxFds: maxFiles})
 	require.NoError(t, os.WriteFile(settings, []byte(text), 0o600))
 	v.metrics = addrs[3]
-	v.front, v.ready, v.log = addrs[0], addrs[1], filepath.Join(dir, "vm.log")
-	log, err := os.Create(v.log)
-	require.NoError(t, err)
-	defer func() { _ = log.Close() }()
-	v.proc, err = nodeproc.Start(nodeproc.Command(nodeBinary, settings, log))
-	require.NoError(t, err)
-	t.Cleanup(v.proc.Kill)
+	v.front, v.ready, v.log, v.settings = addrs[0], addrs[1], filepath.Join(dir, "vm.log"), settings
+	v.start()
 	v.awaitAnswer()
 	return v
 }
 
+// start starts the process, which must not be running.
+func (v *vm) start() {
+	v.t.Helper()
+	log, err := os.OpenFile(v.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	require.NoError(v.t, err)
+	defer func() { _ = log.Close() }()
+	v.proc, err = nodeproc.Start(nodeproc.Command(nodeBinary, v.settings, log))
+	require.NoError(v.t, err)
+	v.t.Cleanup(v.proc.Kill)
+}
+
 // awaitAnswer waits until an ordinary request with a body of full size is answered.
 func (v *vm) awaitAnswer() {
 	v.t.Helper()
--- a/internal/crowd/others_test.go
+++ b/internal/crowd/others_test.go
@@ -65,6 +65,33 @@
 	})
 }
 
+// putLongEntries writes objects of another program into the kind of the servers' entries.
+// Together they are longer than the list that the process may hold.
+func (v *vm) putLongEntries() {
+	for i := range 24 {
+		v.store.Put("servers", fmt.Sprintf("inventory-%02d", i), map[string]any{"service": "ledger", "inventory": strings.Repeat("x", 1_000_000)})
+	}
+}
+
+func (v *vm) checkMemory() {
+	v.t.Helper()
+	peak, err := v.proc.PeakMemory()
+	require.NoError(v.t, err)
+	require.LessOrEqual(v.t, peak, int64(memoryMB)<<20, "peak resident memory in bytes")
+}
+
+// Guards against a process that serves nothing after its start, because of long entries of
+// another program.
+func TestStartBesideLongEntriesOfAnotherProgram(t *testing.T) {
+	knownred.Skip(t)
+	v := startVM(t)
+	v.proc.Kill()
+	v.putLongEntries()
+	v.start()
+	v.awaitAnswer()
+	v.checkMemory()
+}
+
 // Guards against responses of servers whose heads have very many short fields.
 func TestManyShortFieldsFromAServer(t *testing.T) {
 	knownred.Skip(t)
--- a/node/evacuations.go
+++ b/node/evacuations.go
@@ -22,15 +22,34 @@
 func (n *Node) evacuationWatcher(prefix string) *watcher {
 	e := &evacuations{node: n, listed: make(map[topo.DataCentreName]bool), kept: make(map[topo.DataCentreName]time.Time)}
 	return &watcher{
-		name: "evacuations", prefix: prefix, applyListing: e.applyListing, applyEvent: e.applyEvent,
-		advance: func(rev topo.Revision, _ time.Time) { e.apply(rev, clock.Boot()) },
+		name: "evacuations", prefix: prefix, applyEvent: e.applyEvent,
+		newListing: func() listing { return &evacuationListing{evacuations: e} },
+		advance:    func(rev topo.Revision, _ time.Time) { e.apply(rev, clock.Boot()) },
 	}
 }
 
-func (e *evacuations) applyListing(l store.Listing, now time.Time) {
+// evacuationListing is a list of the data centres out of service, which only their names
+// tell.
+type evacuationListing struct {
+	evacuations *evacuations
+	names       []topo.DataCentreName
+}
+
+func (l *evacuationListing) add(o store.Object, _ time.Time) int {
+	name := l.evacuations.node.platform.Name(o.Key)
+	l.names = append(l.names, topo.DataCentreName(name))
+	return len(name)
+}
+
+func (l *evacuationListing) apply(rev topo.Revision, now time.Time) {
+	l.evacuations.replace(l.names, rev, now)
+}
+
+// replace puts the listed data centres in place of those that are known.
+func (e *evacuations) replace(names []topo.DataCentreName, rev topo.Revision, now time.Time) {
 	e.node.view.Directory(func(d *directory.Directory) {
 		known := topo.Revision(d.EvacuationRev())
-		if known == 0 || l.Revision.Era() <= known.Era() {
+		if known == 0 || rev.Era() <= known.Era() {
 			return
 		}
 		for _, name := range d.Evacuated() {
@@ -38,8 +57,8 @@
 		}
 	})
 	clear(e.listed)
-	for _, o := range l.Objects {
-		e.listed[topo.DataCentreName(e.node.platform.Name(o.Key))] = true
+	for _, name := range names {
+		e.listed[name] = true
 	}
 }
 
--- a/node/rolloutlead.go
+++ b/node/rolloutlead.go
@@ -87,7 +87,8 @@
 func (n *Node) rolloutWatcher(prefix string) *watcher {
 	r := n.rollouts
 	return &watcher{
-		name: "rollouts", prefix: prefix, applyListing: r.applyListing, applyEvent: r.applyEvent,
+		name: "rollouts", prefix: prefix, applyEvent: r.applyEvent,
+		newListing: func() listing { return &wholeListing{applyTo: r.applyListing} },
 		advance: func(topo.Revision, time.Time) {
 			r.mu.Lock()
 			defer r.mu.Unlock()
--- a/node/watch.go
+++ b/node/watch.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"sync"
 	"time"
@@ -27,8 +28,8 @@
 	watchPausePerVM = 8 * time.Millisecond
 	// watchRetryDelay is the pause from the second consecutive failure on.
 	watchRetryDelay = 300 * time.Millisecond
-	// listTimeout bounds a list call.
-	listTimeout = 1500 * time.Millisecond
+	// listTimeout bounds the time in which all pages of a list are read.
+	listTimeout = 10 * time.Second
 	// idlePollInterval is how often an inactive watcher checks whether it is
 	// needed.
 	idlePollInterval = 200 * time.Millisecond
@@ -44,10 +45,10 @@
 	objects store.Objects
 	needed  func() bool
 	log     *declog.Log
-	// applyListing processes a whole listing, applyEvent a single change. Calls
-	// do not overlap.
-	applyListing func(store.Listing, time.Time)
-	applyEvent   func(store.Event, time.Time)
+	// newListing begins a listing, which takes the place of what is known, and
+	// applyEvent processes a single change. Calls do not overlap.
+	newListing func() listing
+	applyEvent func(store.Event, time.Time)
 	// advance receives the revision up to which all changes are known, and a
 	// time at which that revision was current.
 	advance func(rev topo.Revision, at time.Time)
@@ -68,6 +69,30 @@
 	lastResponse time.Time
 }
 
+// listing takes in a list of objects.
+type listing interface {
+	// add takes over what is needed of an object and returns its size in bytes.
+	add(o store.Object, now time.Time) int
+	// apply puts the complete listing in force. All its objects are as of rev or later.
+	apply(rev topo.Revision, now time.Time)
+}
+
+// wholeListing is a listing of which all objects are needed.
+type wholeListing struct {
+	objects []store.Object
+	applyTo func(store.Listing, time.Time)
+}
+
+func (l *wholeListing) add(o store.Object, _ time.Time) int {
+	o.Value = bytes.Clone(o.Value)
+	l.objects = append(l.objects, o)
+	return len(o.Key) + len(o.Value)
+}
+
+func (l *wholeListing) apply(rev topo.Revision, now time.Time) {
+	l.applyTo(store.Listing{Objects: l.objects, Revision: rev}, now)
+}
+
 // LastResponse returns when the store last responded, or the zero time if it has
 // not responded yet.
 func (w *watcher) LastResponse() time.Time {
@@ -139,14 +164,15 @@
 func (w *watcher) list(ctx context.Context) (topo.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	l, err := w.objects.List(ctx, w.prefix)
+	l := w.newListing()
+	rev, err := store.Scan(ctx, w.objects, w.prefix, func(o store.Object) int { return l.add(o, clock.Boot()) })
 	if err != nil {
 		return 0, err
 	}
 	now := clock.Boot()
 	w.noteOutage(now)
-	w.applyListing(l, now)
-	return l.Revision, nil
+	l.apply(rev, now)
+	return rev, nil
 }
 
 func (w *watcher) watch(ctx context.Context, rev topo.Revision) (topo.Revision, error) {
@@ -181,11 +207,7 @@
 	objects, prefixes := n.platform.Objects(), n.platform.Prefixes()
 	config := &watcher{
 		name: "config", prefix: prefixes.Config,
-		applyListing: func(l store.Listing, _ time.Time) {
-			for _, o := range l.Objects {
-				n.applyConfigObject(o)
-			}
-		},
+		newListing: func() listing { return &configListing{node: n} },
 		applyEvent: func(e store.Event, _ time.Time) {
 			if !e.Deleted {
 				n.applyConfigObject(e.Object)
@@ -199,7 +221,8 @@
 		waitLimit: func() time.Duration { return n.storeEra.watchLimit(clock.Boot(), n.view.Confirmed()) },
 	}
 	servers := &watcher{
-		name: "servers", prefix: prefixes.Servers, applyListing: n.replaceServers, applyEvent: n.changeServer,
+		name: "servers", prefix: prefixes.Servers, applyEvent: n.changeServer,
+		newListing: func() listing { return &serverListing{node: n} },
 		advance: func(rev topo.Revision, _ time.Time) {
 			n.view.Directory(func(d *directory.Directory) {
 				d.AdvanceRev(int64(rev))
@@ -242,21 +265,50 @@
 	}
 }
 
-func (n *Node) replaceServers(l store.Listing, now time.Time) {
-	list := make([]directory.Server, 0, len(l.Objects))
-	for _, o := range l.Objects {
-		s, err := n.platform.DecodeServer(o, now)
-		if err != nil {
-			n.log.Event("entry_ignored").Err(err).Send()
-			continue
-		}
-		list = append(list, s)
+// configListing is a list of the kind of object to which the configuration belongs.
+type configListing struct {
+	node   *Node
+	config *store.Object
+}
+
+func (l *configListing) add(o store.Object, _ time.Time) int {
+	if o.Key != l.node.platform.ConfigKey() {
+		return 0
 	}
-	n.view.Directory(func(d *directory.Directory) {
-		for _, s := range list {
-			n.logIfOlder(d, s)
+	o.Value = bytes.Clone(o.Value)
+	l.config = &o
+	return len(o.Value)
+}
+
+func (l *configListing) apply(topo.Revision, time.Time) {
+	if l.config != nil {
+		l.node.applyConfigObject(*l.config)
+	}
+}
+
+// serverListing is a list of the servers' entries. Entries of other programs may be many
+// and long, so only the servers are kept.
+type serverListing struct {
+	node    *Node
+	servers []directory.Server
+}
+
+func (l *serverListing) add(o store.Object, now time.Time) int {
+	s, err := l.node.platform.DecodeServer(o, now)
+	if err != nil {
+		l.node.log.Event("entry_ignored").Err(err).Send()
+		return 0
+	}
+	l.servers = append(l.servers, s)
+	return s.Bytes()
+}
+
+func (l *serverListing) apply(rev topo.Revision, now time.Time) {
+	l.node.view.Directory(func(d *directory.Directory) {
+		for _, s := range l.servers {
+			l.node.logIfOlder(d, s)
 		}
-		d.Replace(list, int64(l.Revision), now)
+		d.Replace(l.servers, int64(rev), now)
 	})
 }
 
--- a/standin/platform/site/store.go
+++ b/standin/platform/site/store.go
@@ -47,6 +47,10 @@
 
 // Store is the metadata store. It is safe for concurrent use.
 type Store struct {
+	// PageBytes, unless 0, is the size of the objects after which a page of a listing
+	// ends. It must be set before the first call.
+	PageBytes int
+
 	mu           sync.Mutex
 	rev          uint64
 	objects      map[string]map[string]Object
@@ -286,11 +290,16 @@
 		}
 	}
 	sort.Strings(names)
-	more := len(names) > pageSize
-	items := make([]string, 0, pageSize)
-	for _, n := range names[:min(pageSize, len(names))] {
-		items = append(items, s.objects[kind][n].encode())
+	var items []string
+	size := 0
+	for _, n := range names {
+		if len(items) == pageSize || s.PageBytes > 0 && size >= s.PageBytes {
+			break
+		}
+		text := s.objects[kind][n].encode()
+		items, size = append(items, text), size+len(text)
 	}
+	more := len(items) < len(names)
 	return http.StatusOK, fmt.Sprintf(`{"items":[%s],"hasMore":%t,"atRev":%d}`, strings.Join(items, ","), more, s.rev)
 }
 
