--- a/internal/crowd/others_test.go
+++ b/internal/crowd/others_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -92,6 +93,25 @@
 	v.checkMemory()
 }
 
+// Guards against a process that follows no change of the servers any more, because another
+// program wrote many long entries between two of its watches.
+func TestServersAreFollowedBesideLongEntriesOfAnotherProgram(t *testing.T) {
+	knownred.Skip(t)
+	v := startVM(t)
+	v.putLongEntries()
+	for i, old := range v.servers {
+		s := &site.Server{ID: fmt.Sprintf("t-%d", i), Service: "ledger", DataCentre: "z0",
+			StartedAtMs: time.Now().UnixMilli(), ServiceTime: 5 * time.Millisecond}
+		require.NoError(t, s.Start())
+		t.Cleanup(s.Kill)
+		v.store.Put("servers", s.ID, s.StoreEntry())
+		v.store.Delete("servers", old.ID)
+		old.Kill()
+	}
+	v.awaitAnswer()
+	v.checkMemory()
+}
+
 // Guards against responses of servers whose heads have very many short fields.
 func TestManyShortFieldsFromAServer(t *testing.T) {
 	knownred.Skip(t)
