permit: a probe proves only requests that had reached the server

Cause: the home VM of a server counts the requests that it let go without a proof that the server was warm after them. An answer "warm" removed all that were let go before the probe was sent, also those still on their way. A server that became cold in between got them beyond its budget.

Change: a request counts as proved if its answer had come by the time at which the probe was sent, or if it was let go 0.1 s before, the time that the budget's window allows for the way.

Evidence: TestRequestsOnTheirWayToAServerKeepItsBound (up to 80 ms on the way, 20 and 60 requests a second) failed before: 11 requests in a second, 10.7 are allowed.

--- a/permit/server.go
+++ b/permit/server.go
@@ -155,7 +155,7 @@
 	s.lastStart = now
 	s.heldBytes += r.Bytes
 	s.running[r.ID] = slotLease{since: now, expiry: now.Add(r.Lease), work: work, workKnown: r.workKnown(), bytes: r.Bytes}
-	return s.countStart(now)
+	return s.countStart(now, r.ID)
 }
 
 // stalled reports whether the server is suspect, or has all slots taken and has
@@ -174,6 +174,9 @@
 	if !s.release(id) {
 		return
 	}
+	if r.Full || r.ServiceTime > 0 {
+		s.warmth.answer(now, id)
+	}
 	switch {
 	case r.Failed:
 		s.failures++
--- a/permit/warmth.go
+++ b/permit/warmth.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"godwitlock.example/godwitlock/topo"
@@ -28,9 +29,11 @@
 }
 
 const (
-	// warmWindow is the time in which the starts of a server are bounded. It exceeds a
-	// second by the time that requests may be held up on their way.
-	warmWindow = 1100 * time.Millisecond
+	// maxTransit is the time that a request may take from its start to its server.
+	maxTransit = 100 * time.Millisecond
+	// warmWindow is the time in which the starts of a server are bounded, so that its
+	// arrivals are bounded in any second.
+	warmWindow = time.Second + maxTransit
 	// probeAt is the part of the budget at which a probe is due. It takes some
 	// milliseconds on a new connection, in which a server hardly uses the rest.
 	probeAt = 0.75
@@ -50,7 +53,7 @@
 	coldUntil time.Time
 	// starts holds the starts within warmWindow that no probe has shown to have been at
 	// a warm server.
-	starts []time.Time
+	starts []warmStart
 	// probeSent is when the present probe was sent, zero if there is none.
 	probeSent time.Time
 	// answered says that the last probe was answered promptly, slow counts those before
@@ -60,6 +63,19 @@
 	pausedUntil time.Time
 }
 
+// warmStart is the start of a request.
+type warmStart struct {
+	id uint64
+	at time.Time
+	// answeredAt is when the server's answer was reported, zero before that.
+	answeredAt time.Time
+}
+
+// arrivedBy reports whether the request had reached its server at t.
+func (w warmStart) arrivedBy(t time.Time) bool {
+	return !w.at.Add(maxTransit).After(t) || !w.answeredAt.IsZero() && !w.answeredAt.After(t)
+}
+
 // unproved reports whether the server has started as many requests as it may, cold or not,
 // without a proof that it was warm. Until its first prompt answer, nothing shows that its
 // health path can tell.
@@ -68,27 +84,37 @@
 	if s.WarmBudget == 0 || !w.answered || now.Before(w.pausedUntil) {
 		return false
 	}
-	w.forget(now.Add(-warmWindow))
+	w.forgetOld(now)
 	return len(w.starts) >= s.WarmBudget
 }
 
-// forget removes the starts up to a time.
-func (w *warmth) forget(until time.Time) {
-	i := 0
-	for i < len(w.starts) && !w.starts[i].After(until) {
-		i++
+// forgetOld removes the starts before warmWindow.
+func (w *warmth) forgetOld(now time.Time) {
+	w.starts = slices.DeleteFunc(w.starts, func(s warmStart) bool { return !s.at.After(now.Add(-warmWindow)) })
+}
+
+// prove removes the starts of requests that had reached the server at t, when it was warm.
+func (w *warmth) prove(t time.Time) {
+	w.starts = slices.DeleteFunc(w.starts, func(s warmStart) bool { return s.arrivedBy(t) })
+}
+
+// answer records that the server has answered a request.
+func (w *warmth) answer(now time.Time, id uint64) {
+	for i := range w.starts {
+		if w.starts[i].id == id {
+			w.starts[i].answeredAt = now
+		}
 	}
-	w.starts = w.starts[:copy(w.starts, w.starts[i:])]
 }
 
-// countStart counts a start and reports whether a probe is due.
-func (s *server) countStart(now time.Time) (probe bool) {
+// countStart counts the start of a request and reports whether a probe is due.
+func (s *server) countStart(now time.Time, id uint64) (probe bool) {
 	w := &s.warmth
 	if s.WarmBudget == 0 || now.Before(w.pausedUntil) {
 		return false
 	}
-	w.forget(now.Add(-warmWindow))
-	w.starts = append(w.starts, now)
+	w.forgetOld(now)
+	w.starts = append(w.starts, warmStart{id: id, at: now})
 	if s.isCold(now) {
 		// The server has said until when it is cold.
 		return false
@@ -112,14 +138,13 @@
 	if !prompt {
 		if w.slow++; w.slow >= slowProbesToPause {
 			w.slow, w.answered, w.pausedUntil = 0, false, now.Add(probePause)
-			clear(w.starts)
 			w.starts = w.starts[:0]
 		}
 		return
 	}
 	w.answered, w.slow = true, 0
 	if coldFor <= 0 {
-		w.forget(sent)
+		w.prove(sent)
 		w.coldUntil = time.Time{}
 		return
 	}
--- a/permit/warmth_test.go
+++ b/permit/warmth_test.go
@@ -1,7 +1,9 @@
 package permit
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,14 +18,17 @@
 	burst                    int
 	slots                    int
 	probeTakes               time.Duration
+	// transit is the longest time from a start to the arrival at the server.
+	transit time.Duration
 	// answers reports whether a probe sent at t is answered promptly.
 	answers func(t time.Duration) bool
 	// coldFrom and coldUntil bound the time in which the server is cold.
 	coldFrom, coldUntil time.Duration
 }
 
-// run returns the starts, the number of probes, and the number of offered requests.
-func (w warmthRun) run(seed uint64) (starts []time.Duration, probes, offered int) {
+// run returns the arrivals at the server, in order, the number of probes, and the number of
+// offered requests.
+func (w warmthRun) run(seed uint64) (arrivals []time.Duration, probes, offered int) {
 	const length = 12 * time.Second
 	const work = 20 * time.Millisecond
 	base := time.Unix(1000, 0)
@@ -42,8 +47,13 @@
 		if d.Verdict != Granted {
 			return
 		}
-		starts = append(starts, now)
-		running = append(running, end{now + work, d.ID})
+		arrival := now
+		if w.transit > 0 {
+			arrival += time.Duration(rng.Int64N(int64(w.transit)))
+		}
+		arrivals = append(arrivals, arrival)
+		running = append(running, end{arrival + work, d.ID})
+		slices.SortStableFunc(running, func(a, b end) int { return cmp.Compare(a.at, b.at) })
 		if d.Probe {
 			probes++
 			probeAt, probeDone = now, now+w.probeTakes
@@ -78,7 +88,8 @@
 			decided(now, d)
 		}
 	}
-	return starts, probes, offered
+	slices.Sort(arrivals)
+	return arrivals, probes, offered
 }
 
 func always(time.Duration) bool { return true }
@@ -117,6 +128,22 @@
 	}
 }
 
+// Guards against counting requests as served by a warm server that reach it only after the
+// probe which found it warm.
+func TestRequestsOnTheirWayToAServerKeepItsBound(t *testing.T) {
+	for _, load := range []struct{ perSecond, burst, slots int }{{20, 1, 12}, {60, 1, 12}, {60, 20, 30}} {
+		for seed := range uint64(40) {
+			from := 3*time.Second + time.Duration(seed)*37*time.Millisecond
+			w := warmthRun{
+				overrun: 1.5, slack: 5, coldRate: 3.8, perSecond: load.perSecond, burst: load.burst, slots: load.slots,
+				probeTakes: 4 * time.Millisecond, transit: 80 * time.Millisecond, answers: always, coldFrom: from, coldUntil: from + 4*time.Second,
+			}
+			arrivals, _, _ := w.run(seed)
+			require.LessOrEqual(t, float64(mostInASecond(arrivals, w.coldFrom, w.coldUntil)), 3.8*1.5+5, "load %v, seed %d", load, seed)
+		}
+	}
+}
+
 // Guards against a server that gets its full share because its health path does not
 // answer: it may be cold. Its probes are answered before and after.
 func TestUnansweredProbeLimitsAServer(t *testing.T) {
