permit: limit a server that was never asked whether it is warm

Cause: nothing limited a server until its home VM had its first answer from the health path. In the first seconds of a VM, and after a VM became home of the server, a burst filled all slots of a cold server before that answer came.

Change: the budget holds from the first request on, and until the first probe has ended or failed.

--- a/permit/warmth.go
+++ b/permit/warmth.go
@@ -56,11 +56,11 @@
 	starts []warmStart
 	// probeSent is when the present probe was sent, zero if there is none.
 	probeSent time.Time
-	// answered says that the last probe was answered promptly, slow counts those before
-	// it that were not.
-	answered    bool
-	slow        int
-	pausedUntil time.Time
+	// asked says that the result of a probe is known. answered says that the last probe
+	// was answered promptly, slow counts those before it that were not.
+	asked, answered bool
+	slow            int
+	pausedUntil     time.Time
 }
 
 // warmStart is the start of a request.
@@ -77,11 +77,11 @@
 }
 
 // unproved reports whether the server has started as many requests as it may, cold or not,
-// without a proof that it was warm. Until its first prompt answer, nothing shows that its
-// health path can tell.
+// without a proof that it was warm. A server that was asked and has not answered is not
+// limited: nothing shows that its health path can tell.
 func (s *server) unproved(now time.Time) bool {
 	w := &s.warmth
-	if s.WarmBudget == 0 || !w.answered || now.Before(w.pausedUntil) {
+	if s.WarmBudget == 0 || w.asked && !w.answered || now.Before(w.pausedUntil) {
 		return false
 	}
 	w.forgetOld(now)
@@ -134,7 +134,7 @@
 		return
 	}
 	sent := w.probeSent
-	w.probeSent = time.Time{}
+	w.probeSent, w.asked = time.Time{}, true
 	if !prompt {
 		if w.slow++; w.slow >= slowProbesToPause {
 			w.slow, w.answered, w.pausedUntil = 0, false, now.Add(probePause)
--- a/permit/warmth_test.go
+++ b/permit/warmth_test.go
@@ -144,6 +144,19 @@
 	}
 }
 
+// Guards against a full share for a cold server that this VM has not asked yet: in the first
+// seconds of the VM, and after it became home of the server.
+func TestServerThatWasNeverAskedKeepsItsBound(t *testing.T) {
+	for _, burst := range []int{1, 20} {
+		w := warmthRun{
+			overrun: 1.5, slack: 5, coldRate: 3.8, perSecond: 60, burst: burst, slots: 30,
+			probeTakes: 40 * time.Millisecond, answers: always, coldFrom: 0, coldUntil: 4 * time.Second,
+		}
+		arrivals, _, _ := w.run(1)
+		require.LessOrEqual(t, float64(mostInASecond(arrivals, w.coldFrom, w.coldUntil)), 3.8*1.5+5, "bursts of %d", burst)
+	}
+}
+
 // Guards against a server that gets its full share because its health path does not
 // answer: it may be cold. Its probes are answered before and after.
 func TestUnansweredProbeLimitsAServer(t *testing.T) {
