node, permit: take answers of health paths that come late

What callers saw: a server whose health path takes 0.25 s or more to say that it is cold got its full share while the store was down, and crashed, with requests that must not be repeated.

Cause: a probe was cancelled after 0.2 s, so that its answer was never read. After three of them the server was not asked for 30 s, and not limited.

Change: a probe waits for 1 s. Its answer counts whenever it comes. Only a probe without any answer counts towards the pause. A server that was never asked is limited until its first probe is 0.2 s old, as before. New events cold_probe_failed and cold_probe_late tell an operator what became of the probes.

On servers whose health path waits for a slot, an answer takes at most the time in which a slot gets free.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -148,13 +148,7 @@
 // Finish releases the slot that was granted to request id and passes the result
 // to the pool.
 func (b *Broker) Finish(name string, id uint64, r permit.Result) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if p := b.pools[name]; p != nil {
-		now := clock.Boot()
-		p.Finish(now, id, r)
-		b.tick(name, p, now)
-	}
+	b.withPool(name, func(p *pool, now time.Time) { p.Finish(now, id, r) })
 }
 
 // probe asks the server of a decision for its state if that is due. The caller holds b.mu.
@@ -164,14 +158,25 @@
 	}
 }
 
-// Probed records the answer to a probe: how long the server stays cold, and whether it
-// answered promptly.
-func (b *Broker) Probed(name string, server topo.ServerID, coldFor time.Duration, prompt bool) {
+// ProbeOverdue records that a probe was not answered promptly. Its end is still reported
+// with Probed.
+func (b *Broker) ProbeOverdue(name string, server topo.ServerID) {
+	b.withPool(name, func(p *pool, _ time.Time) { p.ProbeOverdue(server) })
+}
+
+// Probed records the end of a probe: how long the server stays cold, and whether it
+// answered.
+func (b *Broker) Probed(name string, server topo.ServerID, coldFor time.Duration, answered bool) {
+	b.withPool(name, func(p *pool, now time.Time) { p.Probed(now, server, coldFor, answered) })
+}
+
+// withPool changes a pool, if it exists, and decides on its queued requests.
+func (b *Broker) withPool(name string, change func(p *pool, now time.Time)) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if p := b.pools[name]; p != nil {
 		now := clock.Boot()
-		p.Probed(now, server, coldFor, prompt)
+		change(p, now)
 		b.tick(name, p, now)
 	}
 }
--- a/node/coldprobe.go
+++ b/node/coldprobe.go
@@ -5,14 +5,19 @@
 	"time"
 
 	"godwitlock.example/godwitlock/broker"
+	"godwitlock.example/godwitlock/clock"
 	"godwitlock.example/godwitlock/permit"
 	"godwitlock.example/godwitlock/topo"
 	"godwitlock.example/godwitlock/view"
 )
 
-// coldProbeTimeout bounds a probe of a health path, which servers that report their load
-// answer at once.
-const coldProbeTimeout = 200 * time.Millisecond
+const (
+	// promptProbe is the time within which servers that report their load answer on their
+	// health path. Others may let the probe wait for a slot.
+	promptProbe = 200 * time.Millisecond
+	// coldProbeTimeout bounds a probe of a health path.
+	coldProbeTimeout = time.Second
+)
 
 // coldProbe returns a function that asks a server how long it stays cold and gives the
 // answer to b.
@@ -31,15 +36,23 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), coldProbeTimeout)
 			defer cancel()
+			overdue := time.AfterFunc(promptProbe, func() { b.ProbeOverdue(pool, id) })
+			sent := clock.Boot()
 			coldFor, err := n.platform.ColdFor(ctx, addr, path, id)
+			prompt := overdue.Stop()
+			took := clock.Boot().Sub(sent)
 			result := "warm"
 			switch {
 			case err != nil:
 				result = "no_answer"
+				n.log.Event("cold_probe_failed").Str("server", string(id)).Dur("took_ms", took).Err(err).Send()
 			case coldFor > 0:
 				result = "cold"
 				n.log.Event("server_cold").Str("server", string(id)).Dur("cold_ms", coldFor).Send()
 			}
+			if err == nil && !prompt {
+				n.log.Event("cold_probe_late").Str("server", string(id)).Dur("took_ms", took).Send()
+			}
 			n.metrics.Count("cold_probes", "result", result)
 			b.Probed(pool, id, coldFor, err == nil)
 		}()
--- a/permit/warmth.go
+++ b/permit/warmth.go
@@ -9,13 +9,12 @@
 )
 
 const (
-	// slowProbesToPause is the number of consecutive probes without a prompt answer
-	// after which a server's warmth is not asked for during probePause: its health path
-	// may wait for a slot. Its requests are not limited meanwhile.
-	slowProbesToPause = 3
+	// unansweredToPause is the number of consecutive probes without an answer after which
+	// a server is not asked during probePause. Its requests are not limited meanwhile.
+	unansweredToPause = 3
 	probePause        = 30 * time.Second
 	// probeLost is when a probe whose result was not reported counts as unanswered.
-	probeLost = time.Second
+	probeLost = 2 * time.Second
 	// maxDrift is the fraction by which a server's clock may run slow.
 	maxDrift = 0.02
 )
@@ -56,11 +55,12 @@
 	starts []warmStart
 	// probeSent is when the present probe was sent, zero if there is none.
 	probeSent time.Time
-	// asked says that the result of a probe is known. answered says that the last probe
-	// was answered promptly, slow counts those before it that were not.
+	// asked says that the first probe has ended or is overdue, and answered that there
+	// was an answer and no pause since.
 	asked, answered bool
-	slow            int
-	pausedUntil     time.Time
+	// unanswered counts the probes without an answer since the last one with an answer.
+	unanswered  int
+	pausedUntil time.Time
 }
 
 // warmStart is the start of a request.
@@ -126,23 +126,31 @@
 	return true
 }
 
-// probed records the answer to a probe that was due. coldFor is how long the server stays
-// cold; prompt is false if it did not answer in time.
-func (s *server) probed(now time.Time, coldFor time.Duration, prompt bool) {
+// probeOverdue records that the present probe was not answered promptly. Its answer may
+// still come.
+func (s *server) probeOverdue() {
+	if !s.warmth.probeSent.IsZero() {
+		s.warmth.asked = true
+	}
+}
+
+// probed records the end of a probe that was due. coldFor is how long the server stays
+// cold; answered is false if it did not answer.
+func (s *server) probed(now time.Time, coldFor time.Duration, answered bool) {
 	w := &s.warmth
 	if w.probeSent.IsZero() {
 		return
 	}
 	sent := w.probeSent
 	w.probeSent, w.asked = time.Time{}, true
-	if !prompt {
-		if w.slow++; w.slow >= slowProbesToPause {
-			w.slow, w.answered, w.pausedUntil = 0, false, now.Add(probePause)
+	if !answered {
+		if w.unanswered++; w.unanswered >= unansweredToPause {
+			w.unanswered, w.answered, w.pausedUntil = 0, false, now.Add(probePause)
 			w.starts = w.starts[:0]
 		}
 		return
 	}
-	w.answered, w.slow = true, 0
+	w.answered, w.unanswered = true, 0
 	if coldFor <= 0 {
 		w.prove(sent)
 		w.coldUntil = time.Time{}
@@ -154,9 +162,16 @@
 	w.coldUntil = now.Add(time.Duration(float64(coldFor) * (1 + maxDrift)))
 }
 
-// Probed records the answer to a probe that a Decision asked for; see server.probed.
-func (p *Pool) Probed(now time.Time, id topo.ServerID, coldFor time.Duration, prompt bool) {
+// ProbeOverdue records that a probe that a Decision asked for was not answered promptly.
+func (p *Pool) ProbeOverdue(id topo.ServerID) {
+	if s := p.servers[id]; s != nil {
+		s.probeOverdue()
+	}
+}
+
+// Probed records the end of a probe that a Decision asked for; see server.probed.
+func (p *Pool) Probed(now time.Time, id topo.ServerID, coldFor time.Duration, answered bool) {
 	if s := p.servers[id]; s != nil {
-		s.probed(now, coldFor, prompt)
+		s.probed(now, coldFor, answered)
 	}
 }
--- a/permit/warmth_test.go
+++ b/permit/warmth_test.go
@@ -18,6 +18,8 @@
 	burst                    int
 	slots                    int
 	probeTakes               time.Duration
+	// promptWithin, unless 0, is when a probe is overdue.
+	promptWithin time.Duration
 	// transit is the longest time from a start to the arrival at the server.
 	transit time.Duration
 	// answers reports whether a probe sent at t is answered promptly.
@@ -61,6 +63,9 @@
 	}
 	for now := time.Duration(0); now < length; now += time.Millisecond {
 		at := base.Add(now)
+		if w.promptWithin > 0 && probeDone > 0 && now == probeAt+w.promptWithin {
+			p.ProbeOverdue("a")
+		}
 		if probeDone > 0 && now >= probeDone {
 			// The server answers halfway.
 			seen := probeAt + w.probeTakes/2
@@ -157,6 +162,22 @@
 	}
 }
 
+// Guards against dropping the answers of a server because they are late, and against a warm
+// one that gets less than its share for that reason.
+func TestLateAnswersOfAServerCount(t *testing.T) {
+	w := warmthRun{
+		overrun: 1.5, slack: 5, coldRate: 3.8, perSecond: 8, burst: 1, slots: 12, probeTakes: 400 * time.Millisecond,
+		promptWithin: 200 * time.Millisecond, answers: always, coldFrom: time.Hour, coldUntil: time.Hour,
+	}
+	arrivals, _, offered := w.run(1)
+	require.Len(t, arrivals, offered)
+	for _, w.perSecond = range []int{20, 60} {
+		w.coldFrom, w.coldUntil = 3*time.Second, 7*time.Second
+		arrivals, _, _ = w.run(1)
+		require.LessOrEqual(t, float64(mostInASecond(arrivals, w.coldFrom, w.coldUntil)), 3.8*1.5+5, "%d a second", w.perSecond)
+	}
+}
+
 // Guards against a server that gets its full share because its health path does not
 // answer: it may be cold. Its probes are answered before and after.
 func TestUnansweredProbeLimitsAServer(t *testing.T) {
@@ -179,7 +200,7 @@
 	}
 	starts, probes, offered := w.run(1)
 	require.Len(t, starts, offered)
-	require.Equal(t, slowProbesToPause, probes)
+	require.Equal(t, unansweredToPause, probes)
 }
 
 // Guards against a warm server that gets less than its share, and against a probe for each
