permit: go on asking a server whose probes fail in part

Cause: three probes that failed in a row, were it within milliseconds, ended the limit and stopped the probes for 30 s, even if the health path had just answered. And a probe was sent only with a request, so none followed a failed one while the server's requests were held back.

Change: a server is given up after three probes without an answer over at least 1 s, or 0.4 s if its health path has never answered. It is asked again after 1 s, 2 s and so on up to 30 s, and after 30 s if it has never answered. A request for which the server was left out is a reason to ask again, 0.05 s after a failed probe.

TestServerWithoutPromptHealthPathIsNotLimited and TestUnansweredProbeLimitsAServer are unchanged.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -84,6 +84,7 @@
 	r.ID = b.lastID
 	d = p.Offer(now, r)
 	b.probe(name, d)
+	b.probeDue(name, p, now)
 	if d.Verdict != permit.Queued {
 		b.mu.Unlock()
 		b.Stats.record(r.Priority, d)
@@ -153,8 +154,21 @@
 
 // probe asks the server of a decision for its state if that is due. The caller holds b.mu.
 func (b *Broker) probe(name string, d permit.Decision) {
-	if d.Probe && b.Probe != nil {
-		b.Probe(name, d.Server)
+	if d.Probe {
+		b.ask(name, d.Server)
+	}
+}
+
+// probeDue asks the servers for which requests wait. The caller holds b.mu.
+func (b *Broker) probeDue(name string, p *pool, now time.Time) {
+	for _, server := range p.ProbesDue(now) {
+		b.ask(name, server)
+	}
+}
+
+func (b *Broker) ask(name string, server topo.ServerID) {
+	if b.Probe != nil {
+		b.Probe(name, server)
 	}
 }
 
@@ -191,6 +205,7 @@
 			ch <- d
 		}
 	}
+	b.probeDue(name, p, now)
 }
 
 // Run processes queued requests until ctx ends: every tickInterval while any are
--- a/permit/pool.go
+++ b/permit/pool.go
@@ -144,6 +144,9 @@
 	// kinds and pace serve the requests whose work is known.
 	kinds kinds
 	pace  pace
+	// proofWanted says that a server was left out because it has not been shown to be
+	// warm, since ProbesDue was called last.
+	proofWanted bool
 	// blocked is why the last request that found free slots could use none of them, and
 	// blockedAt when that was.
 	blocked   Cause
@@ -454,6 +457,7 @@
 	blocked := NoCause
 	work := p.work(r)
 	for _, s := range p.servers {
+		p.proofWanted = p.proofWanted || s.unproved(now)
 		if !s.canStart(now) || slices.Contains(r.Excluded, s.ID) || slices.Contains(r.Avoid, s.ID) && len(p.servers) > len(r.Avoid) {
 			continue
 		}
--- a/permit/warmth.go
+++ b/permit/warmth.go
@@ -9,10 +9,20 @@
 )
 
 const (
-	// unansweredToPause is the number of consecutive probes without an answer after which
-	// a server is not asked during probePause. Its requests are not limited meanwhile.
+	// unansweredToPause is the least number of consecutive probes without an answer after
+	// which a server is not asked during a pause, and its requests are not limited. From
+	// the first to the last one, unansweredTime has passed if the health path has answered
+	// before, and else neverAnsweredTime: what makes a probe fail at once, such as too many
+	// connections, may be over soon.
 	unansweredToPause = 3
-	probePause        = 30 * time.Second
+	unansweredTime    = time.Second
+	neverAnsweredTime = 400 * time.Millisecond
+	// reprobeInterval is the least time from a probe without an answer to the next one
+	// of a server whose requests wait for a proof.
+	reprobeInterval = 50 * time.Millisecond
+	// A pause lasts probePause if the health path has never answered, and else begins with
+	// minProbePause and doubles up to probePause.
+	minProbePause, probePause = time.Second, 30 * time.Second
 	// probeLost is when a probe whose result was not reported counts as unanswered.
 	probeLost = 2 * time.Second
 	// maxDrift is the fraction by which a server's clock may run slow.
@@ -53,14 +63,20 @@
 	// starts holds the starts within warmWindow that no probe has shown to have been at
 	// a warm server.
 	starts []warmStart
-	// probeSent is when the present probe was sent, zero if there is none.
-	probeSent time.Time
+	// probeSent is when the present probe was sent, zero if there is none, and probeEnded
+	// when the result of the last one was known.
+	probeSent, probeEnded time.Time
 	// asked says that the first probe has ended or is overdue, and answered that there
 	// was an answer and no pause since.
 	asked, answered bool
-	// unanswered counts the probes without an answer since the last one with an answer.
-	unanswered  int
+	// unanswered counts the probes without an answer since the last answer or pause, and
+	// unansweredSince is the end of the first of them.
+	unanswered      int
+	unansweredSince time.Time
+	// pausedUntil is the end of a pause. nextPause is the length of the next one, zero
+	// before the first answer.
 	pausedUntil time.Time
+	nextPause   time.Duration
 }
 
 // warmStart is the start of a request.
@@ -119,13 +135,26 @@
 		// The server has said until when it is cold.
 		return false
 	}
-	if float64(len(w.starts)) < probeAt*float64(s.WarmBudget) || !w.probeSent.IsZero() && now.Sub(w.probeSent) < probeLost {
+	if float64(len(w.starts)) < probeAt*float64(s.WarmBudget) {
+		return false
+	}
+	return w.beginProbe(now)
+}
+
+// beginProbe begins a probe, unless one is under way.
+func (w *warmth) beginProbe(now time.Time) bool {
+	if !w.probeSent.IsZero() && now.Sub(w.probeSent) < probeLost {
 		return false
 	}
 	w.probeSent = now
 	return true
 }
 
+// reprobe begins a probe if requests wait for a proof that the last one did not give.
+func (s *server) reprobe(now time.Time) bool {
+	return s.unproved(now) && !s.isCold(now) && now.Sub(s.warmth.probeEnded) >= reprobeInterval && s.warmth.beginProbe(now)
+}
+
 // probeOverdue records that the present probe was not answered promptly. Its answer may
 // still come.
 func (s *server) probeOverdue() {
@@ -134,6 +163,32 @@
 	}
 }
 
+// countUnanswered counts a probe without an answer.
+func (w *warmth) countUnanswered(now time.Time) {
+	if w.unanswered++; w.unanswered == 1 {
+		w.unansweredSince = now
+	}
+	least := unansweredTime
+	if w.nextPause == 0 {
+		least = neverAnsweredTime
+	}
+	if w.unanswered >= unansweredToPause && now.Sub(w.unansweredSince) >= least {
+		w.pause(now)
+	}
+}
+
+// pause begins a pause, and ends the limit of the requests until the next answer.
+func (w *warmth) pause(now time.Time) {
+	length := w.nextPause
+	if length == 0 {
+		length = probePause
+	} else {
+		w.nextPause = min(2*length, probePause)
+	}
+	w.unanswered, w.answered, w.pausedUntil = 0, false, now.Add(length)
+	w.starts = w.starts[:0]
+}
+
 // probed records the end of a probe that was due. coldFor is how long the server stays
 // cold; answered is false if it did not answer.
 func (s *server) probed(now time.Time, coldFor time.Duration, answered bool) {
@@ -142,15 +197,12 @@
 		return
 	}
 	sent := w.probeSent
-	w.probeSent, w.asked = time.Time{}, true
+	w.probeSent, w.probeEnded, w.asked = time.Time{}, now, true
 	if !answered {
-		if w.unanswered++; w.unanswered >= unansweredToPause {
-			w.unanswered, w.answered, w.pausedUntil = 0, false, now.Add(probePause)
-			w.starts = w.starts[:0]
-		}
+		w.countUnanswered(now)
 		return
 	}
-	w.answered, w.unanswered = true, 0
+	w.answered, w.unanswered, w.pausedUntil, w.nextPause = true, 0, time.Time{}, minProbePause
 	if coldFor <= 0 {
 		w.prove(sent)
 		w.coldUntil = time.Time{}
@@ -162,6 +214,21 @@
 	w.coldUntil = now.Add(time.Duration(float64(coldFor) * (1 + maxDrift)))
 }
 
+// ProbesDue begins the probes that are due because requests wait for their proof, and
+// returns their servers.
+func (p *Pool) ProbesDue(now time.Time) (due []topo.ServerID) {
+	if !p.proofWanted && p.queue.Len() == 0 {
+		return nil
+	}
+	p.proofWanted = false
+	for id, s := range p.servers {
+		if s.reprobe(now) {
+			due = append(due, id)
+		}
+	}
+	return due
+}
+
 // ProbeOverdue records that a probe that a Decision asked for was not answered promptly.
 func (p *Pool) ProbeOverdue(id topo.ServerID) {
 	if s := p.servers[id]; s != nil {
--- a/permit/warmth_test.go
+++ b/permit/warmth_test.go
@@ -92,6 +92,10 @@
 		for _, d := range p.Tick(at) {
 			decided(now, d)
 		}
+		if len(p.ProbesDue(at)) > 0 {
+			probes++
+			probeAt, probeDone = now, now+w.probeTakes
+		}
 	}
 	slices.Sort(arrivals)
 	return arrivals, probes, offered
@@ -178,6 +182,33 @@
 	}
 }
 
+// Guards against a full share for a cold server because a part of its probes fail at once,
+// such as those whose connection is reset.
+func TestServerWhoseProbesFailInPartKeepsItsBound(t *testing.T) {
+	for seed := range uint64(40) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		from := 3*time.Second + time.Duration(seed)*137*time.Millisecond
+		w := warmthRun{
+			overrun: 1.5, slack: 5, coldRate: 3.8, perSecond: 20, burst: 1, slots: 12, probeTakes: 4 * time.Millisecond,
+			answers: func(time.Duration) bool { return rng.IntN(2) == 0 }, coldFrom: from, coldUntil: from + 4*time.Second,
+		}
+		arrivals, _, _ := w.run(seed)
+		require.LessOrEqual(t, float64(mostInASecond(arrivals, w.coldFrom, w.coldUntil)), 3.8*1.5+5, "seed %d", seed)
+	}
+}
+
+// Guards against a server that is not asked for long because its health path did not answer
+// for a moment.
+func TestServerIsAskedAgainAfterItsHealthPathFailed(t *testing.T) {
+	w := warmthRun{
+		overrun: 1.5, slack: 5, coldRate: 3.8, perSecond: 20, burst: 1, slots: 12, probeTakes: 4 * time.Millisecond,
+		answers:  func(at time.Duration) bool { return at < 2*time.Second || at > 3*time.Second },
+		coldFrom: 5 * time.Second, coldUntil: 9 * time.Second,
+	}
+	arrivals, _, _ := w.run(1)
+	require.LessOrEqual(t, float64(mostInASecond(arrivals, w.coldFrom, w.coldUntil)), 3.8*1.5+5)
+}
+
 // Guards against a server that gets its full share because its health path does not
 // answer: it may be cold. Its probes are answered before and after.
 func TestUnansweredProbeLimitsAServer(t *testing.T) {
