--- a/broker/broker.go
+++ b/broker/broker.go
@@ -159,7 +159,8 @@
 	}
 }
 
-// probeDue asks the servers for which requests wait. The caller holds b.mu.
+// probeDue asks the servers that need a proof before they get further requests. The caller
+// holds b.mu.
 func (b *Broker) probeDue(name string, p *pool, now time.Time) {
 	for _, server := range p.ProbesDue(now) {
 		b.ask(name, server)
--- a/membudget/membudget.go
+++ b/membudget/membudget.go
@@ -198,15 +198,15 @@
 
 const (
 	// storeResponseShare and storeListShare are the parts of a VM's memory that one
-	// response of the store, and a list over all its pages, may take. The list is held
-	// besides what is in force, and three kinds of objects may be listed at once.
+	// response of the store, and what is kept of a list over all its pages, may take. It is
+	// held besides what is in force, and three kinds of objects may be listed at once.
 	storeResponseShare, storeListShare = 1.0 / 32, 1.0 / 16
 	// minStoreResponse and minStoreList leave room for a page, which is about 1 MB long.
 	minStoreResponse, minStoreList = 2 << 20, 4 << 20
 )
 
-// StoreLimits returns the bounds of a response of the store, and of a list over all its
-// pages, for a process on a VM with the given memory, 0 for none.
+// StoreLimits returns the bounds of a response of the store, and of what is kept of a list
+// over all its pages, for a process on a VM with the given memory, 0 for none.
 func StoreLimits(vmBytes int64) (response, list int) {
 	if vmBytes <= 0 {
 		return 0, 0
--- a/permit/pool.go
+++ b/permit/pool.go
@@ -457,8 +457,11 @@
 	blocked := NoCause
 	work := p.work(r)
 	for _, s := range p.servers {
-		p.proofWanted = p.proofWanted || s.unproved(now)
-		if !s.canStart(now) || slices.Contains(r.Excluded, s.ID) || slices.Contains(r.Avoid, s.ID) && len(p.servers) > len(r.Avoid) {
+		if !s.canStart(now) {
+			p.proofWanted = p.proofWanted || s.unproved(now)
+			continue
+		}
+		if slices.Contains(r.Excluded, s.ID) || slices.Contains(r.Avoid, s.ID) && len(p.servers) > len(r.Avoid) {
 			continue
 		}
 		if !s.fits(r.Bytes) {
--- a/permit/warmth.go
+++ b/permit/warmth.go
@@ -214,8 +214,8 @@
 	w.coldUntil = now.Add(time.Duration(float64(coldFor) * (1 + maxDrift)))
 }
 
-// ProbesDue begins the probes that are due because requests wait for their proof, and
-// returns their servers.
+// ProbesDue begins the probes of servers that were left out for lack of a proof, and
+// returns these servers. The end of each is given to Probed.
 func (p *Pool) ProbesDue(now time.Time) (due []topo.ServerID) {
 	if !p.proofWanted && p.queue.Len() == 0 {
 		return nil
