internal/crowd: entries and servers of the tests from one place

The line with an entry spelled out in the platform's words comes from the stand-in now (site.Entry), and the tests start further servers as startVM does.

--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -94,12 +94,7 @@
 		"services": []any{map[string]any{"name": "ledger", "healthPath": "/health", "maxConns": 100}},
 	})
 	for i := range 4 {
-		s := &site.Server{ID: fmt.Sprintf("s-%d", i), Service: "ledger", DataCentre: "z0",
-			StartedAtMs: time.Now().UnixMilli(), ServiceTime: 5 * time.Millisecond}
-		require.NoError(t, s.Start())
-		t.Cleanup(s.Kill)
-		store.Put("servers", s.ID, s.StoreEntry())
-		v.servers = append(v.servers, s)
+		v.servers = append(v.servers, v.startServer(fmt.Sprintf("s-%d", i)))
 	}
 	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if fault := v.storeFault.Load(); fault != nil {
@@ -137,6 +132,16 @@
 	v.t.Cleanup(v.proc.Kill)
 }
 
+// startServer starts a server of the routes' service and writes its entry.
+func (v *vm) startServer(id string) *site.Server {
+	v.t.Helper()
+	s := &site.Server{ID: id, Service: "ledger", DataCentre: "z0", StartedAtMs: time.Now().UnixMilli(), ServiceTime: 5 * time.Millisecond}
+	require.NoError(v.t, s.Start())
+	v.t.Cleanup(s.Kill)
+	v.store.Put("servers", s.ID, s.StoreEntry())
+	return s
+}
+
 // awaitAnswer waits until an ordinary request with a body of full size is answered.
 func (v *vm) awaitAnswer() {
 	v.t.Helper()
--- a/internal/crowd/others_test.go
+++ b/internal/crowd/others_test.go
@@ -1,13 +1,13 @@
 package crowd
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -29,9 +29,19 @@
 // giga is how long a response is that has no end.
 const giga = 1 << 30
 
+// longEntry is the entry of a server, with a long field that no VM uses.
+var longEntry = func() string {
+	entry := site.Entry("other", "127.0.0.1:9", "z0", 1)
+	entry["text"] = strings.Repeat("x", 900)
+	data, err := json.Marshal(entry)
+	if err != nil {
+		panic(err)
+	}
+	return string(data)
+}()
+
 func storeItem(i int) string {
-	return fmt.Sprintf(`{"metadata":{"name":"s%d","rev":%d},"spec":{"service":"other","addr":"127.0.0.1:9","zone":"z0","slots":1,"state":"ready","seq":1,"text":%q}}`,
-		i, i+1, strings.Repeat("x", 900))
+	return fmt.Sprintf(`{"metadata":{"name":"s%d","rev":%d},"spec":%s}`, i, i+1, longEntry)
 }
 
 // Guards against a list of the store, or a response to a watch, of 1 GB on one page.
@@ -100,11 +110,7 @@
 	v := startVM(t)
 	v.putLongEntries()
 	for i, old := range v.servers {
-		s := &site.Server{ID: fmt.Sprintf("t-%d", i), Service: "ledger", DataCentre: "z0",
-			StartedAtMs: time.Now().UnixMilli(), ServiceTime: 5 * time.Millisecond}
-		require.NoError(t, s.Start())
-		t.Cleanup(s.Kill)
-		v.store.Put("servers", s.ID, s.StoreEntry())
+		v.startServer(fmt.Sprintf("t-%d", i))
 		v.store.Delete("servers", old.ID)
 		old.Kill()
 	}
--- a/standin/platform/site/server.go
+++ b/standin/platform/site/server.go
@@ -113,23 +113,28 @@
 // Kill stops the server and cuts its connections at once.
 func (s *Server) Kill() { _ = s.http.Close() }
 
+// Entry returns the spec of the object that describes a ready server in the store.
+func Entry(service, addr, dataCentre string, slots int) map[string]any {
+	return map[string]any{
+		"service": service, "addr": addr, "zone": dataCentre, "version": "v1", "slots": slots,
+		"state": "ready", "warmupLeftS": 0, "seq": 1, "born": 0,
+	}
+}
+
 // StoreEntry returns the spec of the object that describes the server in the
 // store.
 func (s *Server) StoreEntry() map[string]any {
-	state := "ready"
+	entry := Entry(s.Service, s.Addr(), s.DataCentre, s.slotCount())
+	entry["born"] = s.StartedAtMs
+	if s.Version != "" {
+		entry["version"] = s.Version
+	}
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.draining {
-		state = "draining"
-	}
-	s.mu.Unlock()
-	version := s.Version
-	if version == "" {
-		version = "v1"
-	}
-	return map[string]any{
-		"service": s.Service, "addr": s.Addr(), "zone": s.DataCentre, "version": version, "slots": s.slotCount(),
-		"state": state, "warmupLeftS": 0, "seq": 1, "born": s.StartedAtMs,
+		entry["state"] = "draining"
 	}
+	return entry
 }
 
 // Drain makes StoreEntry report the server as draining.
