permit: the test of a failed health path lasts long enough for a pause

The test passed with the first pause at 30 s instead of 1 s, since a second of failures did not begin one. With 1.5 s it fails then, and passes as it is.

--- a/permit/warmth_test.go
+++ b/permit/warmth_test.go
@@ -202,7 +202,7 @@
 func TestServerIsAskedAgainAfterItsHealthPathFailed(t *testing.T) {
 	w := warmthRun{
 		overrun: 1.5, slack: 5, coldRate: 3.8, perSecond: 20, burst: 1, slots: 12, probeTakes: 4 * time.Millisecond,
-		answers:  func(at time.Duration) bool { return at < 2*time.Second || at > 3*time.Second },
+		answers:  func(at time.Duration) bool { return at < 2*time.Second || at > 3500*time.Millisecond },
 		coldFrom: 5 * time.Second, coldUntil: 9 * time.Second,
 	}
 	arrivals, _, _ := w.run(1)
