--- a/forward/false_refusal_test.go
+++ b/forward/false_refusal_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 
@@ -44,6 +45,24 @@
 	}
 }
 
+// Guards against the same status if the caller's upload breaks off after its server has begun
+// to receive it.
+func TestBrokenUploadDoesNotPromiseNotRun(t *testing.T) {
+	received := make(chan struct{})
+	tf := newTestForwarder(t, func(string) string { close(received); <-t.Context().Done(); return "" })
+	body, caller := io.Pipe()
+	go func() {
+		_, _ = caller.Write([]byte("half"))
+		<-received
+		caller.CloseWithError(os.ErrDeadlineExceeded)
+	}()
+	in := newRequest("/w/1")
+	in.Stream, in.Length = body, 1000
+	ans := tf.Serve(context.Background(), in)
+	require.False(t, promisesNotRun(ans.Status), "status %d", ans.Status)
+	require.NotContains(t, ans.Header, "Retry-After")
+}
+
 // Guards against changing answers that promise nothing, or whose request may run twice.
 func TestServersFailureIsPassedOn(t *testing.T) {
 	for _, c := range []struct {
