--- a/review/_rig3/rig.go
+++ b/review/_rig3/rig.go
@@ -38,7 +38,7 @@
 		fail("record: %v", err)
 	}
 	defer rec.close()
-	cases := map[string]func(*rig, bool) int{"gone": gone, "lost": lost, "denied": denied, "weights": weights, "open": open}
+	cases := map[string]func(*rig, bool) int{"gone": gone, "lost": lost, "denied": denied, "weights": weights, "open": open, "drain": drain}
 	play := cases[os.Args[1]]
 	if play == nil {
 		fail("unknown case %q", os.Args[1])
@@ -131,6 +131,7 @@
 	rig          *rig
 	name         string
 	front, ready string
+	link         *proxy
 	mu           sync.Mutex
 	cmd          *exec.Cmd
 	exited       chan struct{}
@@ -142,11 +143,11 @@
 	if err != nil {
 		fail("ports: %v", err)
 	}
-	p := &process{rig: r, name: fmt.Sprintf("front-%d", len(r.nodes)+1), front: addrs[0], ready: addrs[1]}
+	p := &process{rig: r, name: fmt.Sprintf("front-%d", len(r.nodes)+1), front: addrs[0], ready: addrs[1], link: newProxy(strings.TrimPrefix(r.http.URL, "http://"))}
 	port := func(a string) string { return a[strings.LastIndexByte(a, ':')+1:] }
 	text := site.Settings(p.name, zone, site.Addresses{
 		Front: p.front, Ready: p.ready, InternalPorts: [2]string{port(addrs[2]), port(addrs[3])},
-		Store: strings.TrimPrefix(r.http.URL, "http://"), Bounds: bounds,
+		Store: p.link.addr(), Bounds: bounds,
 	}, site.Limits{RAMMb: 284, MaxFds: 4100})
 	if err := os.WriteFile(p.settings(), []byte(text), 0o600); err != nil {
 		fail("settings: %v", err)
