--- a/review/_rig3/lost.go
+++ b/review/_rig3/lost.go
@@ -19,13 +19,14 @@
 func lost(r *rig, trouble bool) int {
 	const (
 		clients       = 64
-		duration      = 45 * time.Second
+		duration      = 72 * time.Second
 		garblingShare = 0.5       // of the backends of the download service
-		brokenShare   = 0.03      // of their answers
+		brokenShare   = 0.02      // of their answers
 		pace          = 1_250_000 // bytes per second of an answer of the download service
-		behind        = 3
+		behind        = 5
 		deadline      = 2500 * time.Millisecond
 		most          = 3
+		spell, every  = 5500 * time.Millisecond, 8 * time.Second // of broken answers
 	)
 	size := 500_000
 	if s, err := strconv.Atoi(os.Getenv("ANSWER")); err == nil {
@@ -90,7 +91,7 @@
 				return
 			}
 			w.Header().Set("Content-Length", strconv.Itoa(size))
-			if trouble && garbles && rand.Float64() < brokenShare {
+			if trouble && garbles && time.Since(r.rec.began)%every < spell && rand.Float64() < brokenShare {
 				n := rand.IntN(size)
 				writePaced(w, image[:n], pace)
 				mu.Lock()
