--- a/review/_rig3/rig.go
+++ b/review/_rig3/rig.go
@@ -38,7 +38,7 @@
 		fail("record: %v", err)
 	}
 	defer rec.close()
-	cases := map[string]func(*rig, bool) int{"gone": gone, "lost": lost, "denied": denied, "weights": weights, "open": open, "drain": drain, "paths": paths, "pause": pause, "memory": memory}
+	cases := map[string]func(*rig, bool) int{"gone": gone, "lost": lost, "denied": denied, "weights": weights, "open": open, "drain": drain, "paths": paths, "pause": pause, "memory": memory, "slow": slow}
 	play := cases[os.Args[1]]
 	if play == nil {
 		fail("unknown case %q", os.Args[1])
