config: empty lists in an environment's own part are not missing ones

An own part with server = [] or data_centre = [] got the servers or the data centres of the document, which may be those of another environment; cell = "" got the document's cell. The merge asked for the length of the lists, so that an empty list was taken for none.

A list that is there replaces the document's. An empty one is an error of the merge, as a service needs a server.

TestMerge failed before (no error).

--- a/config/document_test.go
+++ b/config/document_test.go
@@ -196,7 +196,7 @@
 }
 
 // Guards against local overrides that are not checked against the document, and
-// against a merge that modifies the document.
+// against a merge that modifies the document or takes an empty list for none.
 func TestMerge(t *testing.T) {
 	doc, err := ParseDocument("f", []byte(validDocument))
 	require.NoError(t, err)
@@ -217,6 +217,13 @@
 	require.Equal(t, topo.CellName("trial"), merged.Services[0].Cell)
 	require.Equal(t, topo.ServerID("s1"), doc.Services[0].Servers[0].ID, "the document is not modified")
 
+	emptied := &Local{Services: []LocalService{{Name: "images", Servers: []topo.BackendServer{}}}, DataCentres: []DataCentre{}}
+	_, err = Merge("m", doc, emptied)
+	require.ErrorContains(t, err, `service "images" has no servers`, "an empty list replaces that of the document")
+	require.ErrorContains(t, err, "lists data centres")
+	_, err = ParseLocal("l", []byte("[[service]]\nname = \"images\"\ncell = \"\"\n"))
+	require.ErrorContains(t, err, "service[0].cell")
+
 	local.Services[1].Name = "imags"
 	_, err = Merge("m", doc, local)
 	require.ErrorContains(t, err, `service[1].name: the document has no service "imags" (did you mean "images"?)`)
--- a/config/local.go
+++ b/config/local.go
@@ -13,7 +13,7 @@
 // to other environments. Error messages and the reference call them the
 // environment's own part.
 type Local struct {
-	// DataCentres, if not empty, replace those of the document.
+	// DataCentres, unless nil, replace those of the document.
 	DataCentres []DataCentre `toml:"data_centre" json:"data_centre"`
 	// Services are overrides for services of the document. Each must name one.
 	Services []LocalService `toml:"service" json:"service"`
@@ -22,9 +22,9 @@
 // LocalService overrides fields of the document's service of the same name.
 type LocalService struct {
 	Name topo.ServiceName `toml:"name" json:"name"`
-	// Cell, if not empty, replaces the service's cell.
+	// Cell replaces the service's cell if the overrides set it.
 	Cell topo.CellName `toml:"cell" json:"cell"`
-	// Servers, if not empty, replace all servers of the service.
+	// Servers, unless nil, replace all servers of the service.
 	Servers []topo.BackendServer `toml:"server" json:"server"`
 }
 
@@ -54,7 +54,7 @@
 	for i, s := range local.Services {
 		field := fmt.Sprintf("service[%d]", i)
 		v.name(field, string(s.Name), seen)
-		if s.Cell != "" {
+		if c.Has(field + ".cell") {
 			v.checkName(field+".cell", string(s.Cell))
 		}
 		v.servers(field, s.Servers, ids)
@@ -74,7 +74,7 @@
 	}
 	c := tomlcheck.NewChecker(file)
 	if local != nil {
-		if len(local.DataCentres) > 0 {
+		if local.DataCentres != nil {
 			merged.DataCentres = local.DataCentres
 		}
 		for i, ls := range local.Services {
@@ -101,7 +101,7 @@
 		if ls.Cell != "" {
 			s.Cell = ls.Cell
 		}
-		if len(ls.Servers) > 0 {
+		if ls.Servers != nil {
 			s.Servers = slices.Clone(ls.Servers)
 		}
 		return
