cli: customer services needs the flag -services

"godwitlock customer services acme" without -services withdrew all services of the customer: the missing flag was taken for an empty list.

It is a usage error now (exit code 2); -services "" withdraws all services.

--- a/cli/customer.go
+++ b/cli/customer.go
@@ -33,7 +33,8 @@
 	rate, burst float64
 	weight      int
 	base        uint64
-	services    string
+	// services is nil if the flag is missing; an empty list of names withdraws all.
+	services *string
 }
 
 func customerCommand() *command {
@@ -55,7 +56,10 @@
 			f.Float64Var(&c.rate, "rate", 0, "`requests` per second over all VMs")
 			f.Float64Var(&c.burst, "burst", 0, "`requests` at once; twice the rate by default")
 			f.IntVar(&c.weight, "weight", 0, "`share` in fair queues; by default 1 for a new customer, otherwise unchanged")
-			f.StringVar(&c.services, "services", "", "`names` of services, separated by commas")
+			f.Func("services", "`names` of services, separated by commas; \"\" for none", func(s string) error {
+				c.services = &s
+				return nil
+			})
 			defineBaseFlag(f, &c.base)
 		},
 		run: func(ctx context.Context, s *session, args []string) error { return s.customer(ctx, c, args) },
@@ -79,17 +83,29 @@
 	if c.rate == 0 && (verb == "create" || verb == "rate") {
 		return usagef("-rate is needed")
 	}
+	if verb == "services" && c.services == nil {
+		return usagef(`-services is needed; -services "" withdraws all services`)
+	}
 	id := topo.CustomerID(args[0])
 	return s.write(ctx, fmt.Sprintf("customer %s: %s done", id, verb), func(ctx context.Context) (operate.Receipt, error) {
 		return s.changeCustomer(ctx, verb, id, c)
 	})
 }
 
-func (s *session) changeCustomer(ctx context.Context, verb string, id topo.CustomerID, c customerFlags) (operate.Receipt, error) {
-	var services []topo.ServiceName
-	for _, name := range strings.FieldsFunc(c.services, func(r rune) bool { return r == ',' || r == ' ' }) {
-		services = append(services, topo.ServiceName(name))
+// serviceNames returns the names of the flag -services.
+func (c customerFlags) serviceNames() []topo.ServiceName {
+	if c.services == nil {
+		return nil
+	}
+	var names []topo.ServiceName
+	for _, name := range strings.FieldsFunc(*c.services, func(r rune) bool { return r == ',' || r == ' ' }) {
+		names = append(names, topo.ServiceName(name))
 	}
+	return names
+}
+
+func (s *session) changeCustomer(ctx context.Context, verb string, id topo.CustomerID, c customerFlags) (operate.Receipt, error) {
+	services := c.serviceNames()
 	switch verb {
 	case "create":
 		return s.operator.CreateCustomer(ctx, config.Customer{
