--- a/configcheck/configcheck.go
+++ b/configcheck/configcheck.go
@@ -98,8 +98,8 @@
 	if !strings.HasPrefix(r.PathPrefix, "/") {
 		c.add(Error, entry, "can never match: path prefix %q does not begin with a slash", r.PathPrefix)
 	}
-	if r.Public && len(c.cfg.Customers) == 0 {
-		c.add(Warning, entry, "public has no effect: without customers, no route needs a caller key")
+	if r.Public && !c.cfg.NeedsKeys() {
+		c.add(Warning, entry, "public has no effect: without a list of customers, no route needs a caller key")
 	}
 }
 
@@ -173,6 +173,9 @@
 }
 
 func (c *checker) checkCustomers() {
+	if c.cfg.NeedsKeys() && len(c.cfg.Customers) == 0 {
+		c.add(Warning, "customers", "the list is empty: requests on routes that are not public are refused, whatever their caller key")
+	}
 	holders := make(map[string]topo.CustomerID)
 	seen := make(map[topo.CustomerID]bool)
 	for _, cu := range c.cfg.Customers {
--- a/configcheck/diff.go
+++ b/configcheck/diff.go
@@ -23,6 +23,12 @@
 	if inForce.Limits != next.Limits {
 		out = append(out, changedFields("limits", inForce.Limits, next.Limits)...)
 	}
+	if inForce.NeedsKeys() && !next.NeedsKeys() {
+		out = append(out, Change{"customers", "without a list of customers, requests need no caller key any more"})
+	}
+	if !inForce.NeedsKeys() && next.NeedsKeys() {
+		out = append(out, Change{"customers", "requests need a caller key"})
+	}
 	out = append(out, diffEntries(inForce.Routes, next.Routes, func(r routemap.Route) string { return routeEntry(r.Name) }, changedFields)...)
 	out = append(out, diffEntries(inForce.Services, next.Services, func(s routemap.Service) string { return serviceEntry(s.Name) }, changedFields)...)
 	return append(out, diffEntries(inForce.Customers, next.Customers, func(c routemap.Customer) string { return customerEntry(c.ID) }, changedCustomer)...)
--- a/fleet/newer_test.go
+++ b/fleet/newer_test.go
@@ -105,3 +105,45 @@
 	require.NoError(t, err)
 	require.NotEmpty(t, resp.GetConfigGzip())
 }
+
+// Guards against a configuration that changes on the way between VMs, so that an empty list
+// arrives as none: from the leader, from a relay, and from a VM that knows a newer one.
+func TestConfigurationReachesOtherVMsAsItIsStored(t *testing.T) {
+	raw := []byte(`{"version":3,"tenants":[],"routes":null}`)
+	known := func() *view.View {
+		v := view.New()
+		v.SetConfig(&routemap.Map{Version: 3}, raw, 70)
+		return v
+	}
+	decode := func(v *view.View) func([]byte) error {
+		return func(raw []byte) error {
+			v.AdoptConfig(&routemap.Map{Version: 3}, raw)
+			return nil
+		}
+	}
+	for name, leads := range map[string]bool{"leader": true, "relay": false} {
+		h, v := newTestHub(), view.New()
+		h.view, h.leads = known(), func() (topo.Term, bool) { return 1, leads }
+		h.Relay = &Relay{Boot: "relay", Fresh: func() bool { return true }}
+		f := NewFollower(view.Member{VM: "b"}, "boot", v, nil, func(raw []byte, rev int64) error {
+			v.SetConfig(&routemap.Map{Version: 3}, raw, rev)
+			return nil
+		}, func(view.Member, topo.Term, uint64) {})
+		req := f.request(false)
+		req.WaitMs = 1
+		resp, err := h.follow(t.Context(), req)
+		require.NoError(t, err)
+		require.NoError(t, f.applyStoreState(resp))
+		got, _ := v.Config()
+		require.Equal(t, string(raw), string(got), name)
+	}
+	leader := view.New()
+	h := newTestHub()
+	h.view, h.AdoptConfig = leader, decode(leader)
+	f := NewFollower(view.Member{VM: "b"}, "boot", known(), nil, nil, nil)
+	f.wantsConfig.Store(true)
+	req := f.request(false)
+	h.takeConfig(req)
+	got, _ := leader.Config()
+	require.Equal(t, string(raw), string(got), "from a VM that knows a newer one")
+}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -348,3 +348,35 @@
 		})
 	}
 }
+
+// Guards against serving requests with any key, or with none, once the last customer was
+// removed, and against asking for keys on routes that are public or if no list of customers
+// was given.
+func TestEmptyListOfCustomersLetsNobodyIn(t *testing.T) {
+	for _, authenticate := range []bool{false, true} {
+		tf := newTestForwarder(t, func(id string) string {
+			return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nSeal: s\r\nContent-Length: 4\r\n\r\nbody"
+		})
+		route := routemap.Route{Name: "w", Host: "h", PathPrefix: "/w/", Kind: routemap.NonIdempotent, Timeout: 2 * time.Second,
+			Attempts: 3, Destinations: []routemap.Destination{{Service: "s", Weight: 1}}}
+		public := route
+		public.Name, public.PathPrefix, public.Public = "p", "/p/", true
+		m, err := routemap.Compile(routemap.Config{
+			Version: 2, Routes: []routemap.Route{route, public}, Services: []routemap.Service{{Name: "s", Keyed: true}}, Authenticate: authenticate,
+		})
+		require.NoError(t, err)
+		require.True(t, tf.view.SetConfig(m, nil, 2))
+		refused := http.StatusOK
+		if authenticate {
+			refused = http.StatusUnauthorized
+		}
+		for _, key := range []string{"k", "another", ""} {
+			in := newRequest("/w/x")
+			in.CallerKey = key
+			require.Equal(t, refused, tf.Serve(t.Context(), in).Status, "key %q", key)
+			in = newRequest("/p/x")
+			in.CallerKey = key
+			require.Equal(t, http.StatusOK, tf.Serve(t.Context(), in).Status, "key %q", key)
+		}
+	}
+}
--- a/routemap/routemap.go
+++ b/routemap/routemap.go
@@ -102,9 +102,15 @@
 	Routes    []Route
 	Services  []Service
 	Customers []Customer
-	Limits    Limits
+	// Authenticate says that requests need a caller key, except on public routes. Without
+	// customers no key is valid. It is implied if there are customers.
+	Authenticate bool
+	Limits       Limits
 }
 
+// NeedsKeys reports whether requests need a caller key, except on public routes.
+func (c *Config) NeedsKeys() bool { return c.Authenticate || len(c.Customers) > 0 }
+
 // keyHash is the hash of a caller key. The map holds only hashes, so that it
 // contains no secrets.
 type keyHash [sha256.Size]byte
@@ -117,7 +123,7 @@
 	services       map[topo.ServiceName]*Service
 	customersByKey map[keyHash]*Customer
 	customersByID  map[topo.CustomerID]*Customer
-	hasCustomers   bool
+	authenticates  bool
 }
 
 // Compile returns the Map of cfg. It fails when a route has no destination, an
@@ -132,7 +138,7 @@
 		services:       make(map[topo.ServiceName]*Service),
 		customersByKey: make(map[keyHash]*Customer),
 		customersByID:  make(map[topo.CustomerID]*Customer),
-		hasCustomers:   len(cfg.Customers) > 0,
+		authenticates:  cfg.NeedsKeys(),
 	}
 	for i := range cfg.Services {
 		m.services[cfg.Services[i].Name] = &cfg.Services[i]
@@ -192,9 +198,8 @@
 	return nil
 }
 
-// Authenticates reports whether the configuration has customers, so that
-// requests need a caller key.
-func (m *Map) Authenticates() bool { return m.hasCustomers }
+// Authenticates reports whether requests need a caller key, except on public routes.
+func (m *Map) Authenticates() bool { return m.authenticates }
 
 // CustomerOf returns the customer that holds a caller key, or nil.
 func (m *Map) CustomerOf(key string) *Customer { return m.customersByKey[sha256.Sum256([]byte(key))] }
--- a/standin/platform/site/site.go
+++ b/standin/platform/site/site.go
@@ -48,9 +48,9 @@
 
 // PutConfig writes a configuration with one keyed service, "ledger", a route
 // "/read/" whose requests may be retried, a route "/write/" whose requests may
-// not, and the caller keys of each customer.
+// not, and the caller keys of each customer. It asks for keys unless keys is nil.
 func (s *Store) PutConfig(version int, keys map[string][]string) {
-	var tenants []map[string]any
+	tenants := make([]map[string]any, 0, len(keys))
 	for name, list := range keys {
 		tenants = append(tenants, map[string]any{"name": name, "apiKeys": list, "ratePerS": 500, "burst": 500})
 	}
@@ -58,10 +58,13 @@
 		return map[string]any{"name": name, "host": "h", "pathPrefix": prefix, "kind": kind,
 			"timeoutS": RouteTimeoutS, "sloS": 0.5, "priority": 1, "service": "ledger", "attempts": 2}
 	}
-	s.Put("config", "main", map[string]any{
+	config := map[string]any{
 		"version":  version,
 		"routes":   []any{route("read", "/read/", "safe"), route("write", "/write/", "unsafe")},
 		"services": []any{map[string]any{"name": "ledger", "healthPath": "/health", "maxConns": 100, "sharded": true}},
-		"tenants":  tenants,
-	})
+	}
+	if keys != nil {
+		config["tenants"] = tenants
+	}
+	s.Put("config", "main", config)
 }
