--- a/directory/directory.go
+++ b/directory/directory.go
@@ -74,9 +74,9 @@
 	// removed holds what is known of each removed entry, so that an older update
 	// does not restore it.
 	removed map[topo.ServerID]removedEntry
-	// lapsed holds the servers whose entry was removed within the grace time,
-	// with the time at which they are dropped unless the entry returns.
-	lapsed map[topo.ServerID]time.Time
+	// lapsed holds the servers whose entry was removed within the grace time. They are
+	// dropped at its end unless the entry returns.
+	lapsed map[topo.ServerID]bool
 	// doubtful holds entries of servers that were removed, which the store shows again
 	// because it came back from an older copy. They count from the end of the grace
 	// time on, if the store still has them.
@@ -84,9 +84,10 @@
 	rev          int64
 	evacuated    map[topo.DataCentreName]bool
 	evacuatedRev int64
-	// graceUntil is the end of the grace time, in which a removed entry is kept
-	// as lapsed.
-	graceUntil time.Time
+	// outageGrace and restoreGrace are the ends of the grace times after an outage of the
+	// store, and after its return from an older copy. Within either, a removed entry is
+	// kept as lapsed.
+	outageGrace, restoreGrace time.Time
 	// version counts the changes that matter for routing.
 	version uint64
 	// removals lists the latest removals, oldest first.
@@ -131,7 +132,7 @@
 	return &Directory{
 		servers:   make(map[topo.ServerID]*Server),
 		removed:   make(map[topo.ServerID]removedEntry),
-		lapsed:    make(map[topo.ServerID]time.Time),
+		lapsed:    make(map[topo.ServerID]bool),
 		doubtful:  make(map[topo.ServerID]Server),
 		evacuated: make(map[topo.DataCentreName]bool),
 		leaving:   make(map[topo.ServerID]leavingMark),
@@ -150,16 +151,31 @@
 // of service are known.
 func (d *Directory) EvacuationRev() int64 { return d.evacuatedRev }
 
-// StoreRecovered starts the grace time for entries that expired in an outage of
-// the store.
-func (d *Directory) StoreRecovered(now time.Time) { d.graceUntil = now.Add(StoreRecoveryGrace) }
+// SetOutageEnd sets when the last outage of the store ended in which entries of live
+// servers may have expired. The zero time says that there was none: Expire then drops the
+// servers that were kept because of one.
+func (d *Directory) SetOutageEnd(end time.Time) {
+	d.outageGrace = time.Time{}
+	if !end.IsZero() {
+		d.outageGrace = end.Add(StoreRecoveryGrace)
+	}
+}
+
+// inGrace reports whether removed entries are kept as lapsed at now.
+func (d *Directory) inGrace(now time.Time) bool {
+	return now.Before(d.outageGrace) || now.Before(d.restoreGrace)
+}
+
+// Lapsed reports whether the entry of a server was removed, and the server is kept because
+// the entry may have expired in an outage of the store.
+func (d *Directory) Lapsed(id topo.ServerID) bool { return d.lapsed[id] }
 
 // Put adds or replaces the entry of a server, unless the directory has the same
 // or a newer revision of it or its removal. After the store came back from an older
 // copy, an entry with a higher revision may still be older (see entryState).
 func (d *Directory) Put(s Server) {
 	old, removed := d.servers[s.ID], d.removed[s.ID]
-	if old != nil && old.Rev >= s.Rev && d.lapsed[s.ID].IsZero() {
+	if old != nil && old.Rev >= s.Rev && !d.lapsed[s.ID] {
 		return
 	}
 	if s.Rev <= removed.rev {
@@ -171,7 +187,7 @@
 		delete(d.lapsed, s.ID)
 	case superseded && removed.last.leaving:
 		// Leaving is final for an incarnation.
-	case superseded && s.SeenAt.Before(d.graceUntil):
+	case superseded && d.inGrace(s.SeenAt):
 		d.doubtful[s.ID] = s
 	default:
 		d.putNow(s)
@@ -205,10 +221,8 @@
 	if s == nil || s.Rev > rev {
 		return
 	}
-	if now.Before(d.graceUntil) {
-		if d.lapsed[id].IsZero() {
-			d.lapsed[id] = d.graceUntil
-		}
+	if d.inGrace(now) {
+		d.lapsed[id] = true
 		return
 	}
 	d.removeNow(id, rev)
@@ -273,14 +287,12 @@
 // Expire ends the grace time, if it is over at now: it removes the lapsed servers
 // whose entry did not return, and adds the doubtful ones.
 func (d *Directory) Expire(now time.Time) {
-	for id, until := range d.lapsed {
-		if !now.Before(until) {
-			d.removeNow(id, d.removed[id].rev)
-		}
-	}
-	if now.Before(d.graceUntil) {
+	if d.inGrace(now) {
 		return
 	}
+	for id := range d.lapsed {
+		d.removeNow(id, d.removed[id].rev)
+	}
 	for _, s := range d.doubtful {
 		d.putNow(s)
 	}
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -21,7 +21,7 @@
 	d := New()
 	d.Put(entry("back", 1))
 	d.Put(entry("gone", 2))
-	d.StoreRecovered(start)
+	d.SetOutageEnd(start)
 	d.Replace(nil, 10, start)
 	require.NotNil(t, d.Server("back"))
 	d.Put(entry("back", 11))
@@ -32,6 +32,28 @@
 	require.Nil(t, d.Server("back"), "a removal after the grace time takes effect at once")
 }
 
+// Guards against servers that stay in use after they left, because it was believed for a
+// moment that their entries had expired in an outage of the store.
+func TestLapsedServersAreDroppedIfThereWasNoOutage(t *testing.T) {
+	d := New()
+	d.Put(entry("a", 1))
+	d.SetOutageEnd(start)
+	d.Remove("a", 2, start)
+	require.True(t, d.Usable(d.Server("a")))
+	require.True(t, d.Lapsed("a"))
+	d.SetOutageEnd(time.Time{})
+	d.Expire(start)
+	require.Nil(t, d.Server("a"))
+	require.False(t, d.Lapsed("a"))
+
+	d = New()
+	d.Replace([]Server{entry("a", 60)}, 70, start)
+	d.Replace(nil, restored(50), start)
+	d.SetOutageEnd(time.Time{})
+	d.Expire(start)
+	require.NotNil(t, d.Server("a"), "the store came back from an older copy")
+}
+
 // Guards against older updates that undo newer ones when updates arrive out of
 // order.
 func TestOlderUpdatesAreIgnored(t *testing.T) {
--- a/directory/era.go
+++ b/directory/era.go
@@ -51,6 +51,6 @@
 // lost write them again.
 func (d *Directory) BeginEra(rev int64, now time.Time) {
 	if d.rev > 0 && topo.Revision(rev).Era() > topo.Revision(d.rev).Era() {
-		d.StoreRecovered(now)
+		d.restoreGrace = now.Add(StoreRecoveryGrace)
 	}
 }
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -51,7 +51,12 @@
 	AdoptConfig func(raw []byte) error
 	// wantsConfig says that the VM called last asked for the configuration of this one.
 	wantsConfig atomic.Bool
-	compressor  configCompressor
+	// StoreContact, unless nil, holds when the store answered. It must be set before the
+	// follower is used.
+	StoreContact StoreContact
+	// wantsContact says that the VM called last asked this one to call the store.
+	wantsContact atomic.Bool
+	compressor   configCompressor
 	// recordLeaseVersion records the version of the lease of a leader in its term.
 	recordLeaseVersion func(holder view.Member, term topo.Term, version uint64)
 
@@ -162,6 +167,7 @@
 		ConfigRev: configRev, TableVersion: current.Version, WaitMs: FollowWait.Milliseconds(), CpuShare: f.self.CPUShare,
 	}
 	f.addNewerConfig(req)
+	f.addContact(req)
 	f.view.Directory(func(d *directory.Directory) { req.ServersRev = d.Rev() })
 	var acting Acting
 	if f.Acting != nil {
--- a/fleet/hub.go
+++ b/fleet/hub.go
@@ -66,12 +66,17 @@
 	// AdoptConfig, unless nil, puts a configuration in force that another VM has had in
 	// force. It must be set before the hub is used.
 	AdoptConfig func(raw []byte) error
+	// StoreContact, unless nil, holds when the store answered. It must be set before the
+	// hub is used.
+	StoreContact StoreContact
 
 	mu sync.Mutex
 	// processes holds the process of each VM that called last, and when, in this term.
 	processes map[topo.VMID]processCall
 	// configAsked is when a VM was last asked for its newer configuration.
-	configAsked    time.Time
+	configAsked time.Time
+	// contactAsked is when a VM was last asked to call the store.
+	contactAsked   time.Time
 	members        map[topo.VMID]*member
 	membersVersion topo.ListVersion
 	// registry tells which VMs may act under which list of members of this term.
@@ -122,6 +127,7 @@
 		h.Rollouts.Learn(req.GetReverted())
 	}
 	h.takeConfig(req)
+	learnContact(h.StoreContact, clock.Boot(), req.GetStoreContact())
 	term, leads := h.leads()
 	if !leads {
 		return h.relay(ctx, req)
@@ -141,7 +147,8 @@
 			recordedIn = h.registry
 		}
 		hubChanged := h.changed
-		lacksUpdate := h.mayAskConfig(clock.Boot(), req) || !h.hearsLeader(req, term) || h.lacksTablesOrMembers(req, term)
+		now := clock.Boot()
+		lacksUpdate := h.mayAskConfig(now, req) || h.mayAskContact(now) || !h.hearsLeader(req, term) || h.lacksTablesOrMembers(req, term)
 		h.mu.Unlock()
 		if lacksUpdate {
 			break
@@ -282,6 +289,7 @@
 func (h *Hub) fillStoreState(out *fleetpb.FollowResponse, req *fleetpb.FollowRequest, term topo.Term) error {
 	now := clock.Boot()
 	out.AgeMs, out.StoreAgeMs = now.Sub(h.view.Confirmed()).Milliseconds(), now.Sub(h.oldestStoreResponse()).Milliseconds()
+	h.fillContact(out, now)
 	raw, rev := h.view.Config()
 	out.ConfigVersion, out.WantsConfig = h.view.ConfigVersion(), h.wantsConfig(now, req)
 	if out.ConfigRev = rev; rev > req.GetConfigRev() || h.lacksVersion(req) {
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -136,6 +136,10 @@
 	f.view.HearVersion(resp.GetConfigVersion())
 	f.wantsConfig.Store(resp.GetWantsConfig())
 	now := clock.Boot()
+	learnContact(f.StoreContact, now, resp.GetStoreContact())
+	if resp.GetWantsStoreContact() {
+		f.wantsContact.Store(true)
+	}
 	f.view.Directory(func(d *directory.Directory) {
 		if resp.GetServersRev() > 0 {
 			applyDirectory(d, resp, now)
--- a/node/candidates.go
+++ b/node/candidates.go
@@ -63,6 +63,7 @@
 	for ctx.Err() == nil {
 		if n.leaderStale() {
 			n.followCandidates(ctx)
+			n.callStoreIfAsked(ctx)
 		}
 		pause(ctx, followRetryDelay)
 	}
--- a/node/follow.go
+++ b/node/follow.go
@@ -42,6 +42,7 @@
 			continue
 		}
 		if n.followLeader(ctx) {
+			n.callStoreIfAsked(ctx)
 			pause(ctx, n.follower.FollowPause())
 			continue
 		}
--- a/node/lease.go
+++ b/node/lease.go
@@ -37,6 +37,9 @@
 	members func(topo.Term) int
 	// pristine reports whether the store cannot have lost a lease. It may be nil.
 	pristine func() bool
+	// called is called with the result of each call whose response cannot be stale. It may
+	// be nil.
+	called func(now time.Time, err error)
 	// onLost is called when this process no longer leads. It may be nil.
 	onLost func()
 	wake   chan struct{}
@@ -222,6 +225,9 @@
 	ctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
 	defer cancel()
 	o, err := m.objects.Get(ctx, m.key)
+	if urgent {
+		m.recordCall(ctx, err)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := clock.Boot()
@@ -241,6 +247,13 @@
 	}
 }
 
+// recordCall passes on the result of a call, unless the process ends.
+func (m *leaseManager) recordCall(ctx context.Context, err error) {
+	if m.called != nil && !errors.Is(ctx.Err(), context.Canceled) {
+		m.called(clock.Boot(), err)
+	}
+}
+
 // absentLease returns the state of a lease that the store does not have.
 func (m *leaseManager) absentLease() leader.VersionedRecord {
 	era := store.EraOf(m.objects)
@@ -264,6 +277,7 @@
 		version = store.MustNotExist
 	}
 	o, err := m.objects.Put(ctx, m.key, value, version, uuid.NewString())
+	m.recordCall(ctx, err)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := clock.Boot()
--- a/node/node.go
+++ b/node/node.go
@@ -95,6 +95,7 @@
 	assigner     *assigner
 	storeCalls   storeCallCounter
 	storeEra     storeEra
+	contact      *storeContact
 	notices      *notices
 	rollouts     *rollouts
 	// lastCandidate is the index of the candidate that answered last; only
@@ -151,18 +152,21 @@
 	n.storeCalls.metrics, n.storeCalls.log = n.metrics, n.log
 	n.platform.CountCalls(n.storeCalls.count)
 	n.platform.OnStoreEra(n.recordStoreEra)
+	n.contact = newStoreContact(n.settings.Heartbeat, n.view, n.log)
 	n.peers = peer.NewPool(insecure.NewCredentials(), peer.DialTCP)
 	n.lease = newLeaseManager(n.platform.Objects(), n.platform.InternalKey("leader", "lease"),
 		leader.Identity{VM: n.settings.VM, Boot: boot, Addr: n.settings.PeerAddr},
 		func() leader.Candidacy {
 			return candidacyOf(n.settings.VM, n.settings.CPUShare, n.view.Snapshot().Members)
 		}, func(term topo.Term) int { return n.hub.MayAct(term) }, n.log, n.leaderStale)
-	n.lease.pristine = n.pristineStore
+	n.lease.pristine, n.lease.called = n.pristineStore, n.contact.called
 	n.follower = fleet.NewFollower(self, boot, n.view, n.peers, n.setConfig, n.lease.RecordLeaseVersion)
 	n.loads = newLoads(n.view)
 	n.assigner = newAssigner(n, n.loads)
 	n.hub = fleet.NewHub(n.view, self, n.lease.Leads, n.lease.Version, n.oldestStoreResponse, n.loads)
 	n.hub.Relay, n.lease.onLost = n.relay(boot), n.hub.LeadershipLost
+	n.hub.StoreContact, n.follower.StoreContact = n.contact, n.contact
+	n.contact.onFailing = n.hub.StoreFailing
 	n.rollouts = newRollouts(n, boot)
 	n.hub.Rollouts, n.follower.Rollouts = n.rollouts, n.rollouts
 	n.watchers = n.newWatchers()
@@ -378,6 +382,7 @@
 		{"rollouts", n.rollouts.Run},
 		{"home", n.broker.Run},
 		{"fallback", n.fallback.Run},
+		{"contact", func(ctx context.Context) error { return n.contact.Run(ctx, n.needsStore) }},
 		{"sweep", n.runSweep},
 		{"peers", func(context.Context) error { return n.noRestartOnStop(n.grpc.Serve(n.peerLis)) }},
 		{"callers", func(context.Context) error { return n.noRestartOnStop(n.ingress.Serve(n.callerLis)) }},
--- a/node/reload.go
+++ b/node/reload.go
@@ -26,6 +26,7 @@
 		{"peers' address", n.settings.PeerAddr, set.PeerAddr},
 		{"metrics address", n.settings.MetricsAddr, set.MetricsAddr},
 		{"store's address", n.settings.StoreAddr, set.StoreAddr},
+		{"heartbeat", n.settings.Heartbeat, set.Heartbeat},
 	} {
 		if f.old != f.new {
 			needsRestart = append(needsRestart, f.name)
--- a/node/settings.go
+++ b/node/settings.go
@@ -35,11 +35,16 @@
 	BoundServerBytes bool
 	// Callers bounds what one caller may do.
 	Callers ingress.CallerLimits
+	// Heartbeat is the time between two writes of a server to its entry in the store.
+	Heartbeat time.Duration
 	// Bootstrap says that the whole system starts for the first time.
 	Bootstrap bool
 	Bounds    Bounds
 }
 
+// DefaultHeartbeat is the heartbeat of deployments whose settings name none.
+const DefaultHeartbeat = time.Second
+
 // Bounds are the limits that the deployment guarantees to its users.
 type Bounds struct {
 	// LeaveWithin is the time within which a leaving server stops receiving
--- a/node/watch.go
+++ b/node/watch.go
@@ -33,8 +33,6 @@
 	// idlePollInterval is how often an inactive watcher checks whether it is
 	// needed.
 	idlePollInterval = 200 * time.Millisecond
-	// minOutage is how long calls must fail to count as a store outage.
-	minOutage = 400 * time.Millisecond
 )
 
 // watcher updates the view from the objects under one prefix while it is needed:
@@ -52,9 +50,9 @@
 	// advance receives the revision up to which all changes are known, and a
 	// time at which that revision was current.
 	advance func(rev topo.Revision, at time.Time)
-	// storeRecovered is called when the store responds again after an outage of
-	// at least minOutage, before the response is applied. It may be nil.
-	storeRecovered func(time.Time)
+	// called is called with the result of each call to the store, before a response is
+	// applied. It may be nil.
+	called func(now time.Time, err error)
 	// wait is how long a watch waits for changes, and waitLimit, unless nil, returns a
 	// limit of it.
 	wait      time.Duration
@@ -126,6 +124,7 @@
 			pause(ctx, w.pauseDuration())
 			continue
 		}
+		w.recordCall(ctx, clock.Boot(), err)
 		if failures++; failures == 1 {
 			w.failedSince = sent
 			w.log.Event("store_lost").Str("watch", w.name).Err(err).Send()
@@ -154,10 +153,11 @@
 	w.lastResponse = now
 }
 
-// noteOutage calls storeRecovered if the store responds again after an outage.
-func (w *watcher) noteOutage(now time.Time) {
-	if !w.failedSince.IsZero() && now.Sub(w.failedSince) >= minOutage && w.storeRecovered != nil {
-		w.storeRecovered(now)
+// recordCall passes on the result of a call, unless the call was given up because the
+// process ends.
+func (w *watcher) recordCall(ctx context.Context, now time.Time, err error) {
+	if w.called != nil && ctx.Err() == nil {
+		w.called(now, err)
 	}
 }
 
@@ -170,7 +170,7 @@
 		return 0, err
 	}
 	now := clock.Boot()
-	w.noteOutage(now)
+	w.recordCall(ctx, now, nil)
 	l.apply(rev, now)
 	return rev, nil
 }
@@ -185,7 +185,7 @@
 		return rev, err
 	}
 	now := clock.Boot()
-	w.noteOutage(now)
+	w.recordCall(ctx, now, nil)
 	for _, e := range c.Events {
 		w.applyEvent(e, now)
 	}
@@ -229,9 +229,6 @@
 				d.Expire(clock.Boot())
 			})
 		},
-		storeRecovered: func(now time.Time) {
-			n.view.Directory(func(d *directory.Directory) { d.StoreRecovered(now) })
-		},
 	}
 	evacuations := n.evacuationWatcher(prefixes.Evacuations)
 	list := []*watcher{config, servers, evacuations}
@@ -240,7 +237,7 @@
 	}
 	for _, w := range list {
 		w.objects, w.needed, w.log, w.wait = objects, n.needsStore, n.log, watchTimeout
-		w.pauseDuration = n.watchPause
+		w.pauseDuration, w.called = n.watchPause, n.contact.called
 	}
 
 	return list
@@ -315,8 +312,12 @@
 func (n *Node) changeServer(e store.Event, now time.Time) {
 	id := topo.ServerID(n.platform.Name(e.Key))
 	if e.Deleted {
-		revision(n.log.Event("server_gone").Str("server", string(id)), e.Revision).Send()
-		n.view.Directory(func(d *directory.Directory) { d.Remove(id, int64(e.Revision), now) })
+		lapsed := false
+		n.view.Directory(func(d *directory.Directory) {
+			d.Remove(id, int64(e.Revision), now)
+			lapsed = d.Lapsed(id)
+		})
+		revision(n.log.Event("server_gone").Str("server", string(id)).Bool("kept", lapsed), e.Revision).Send()
 		return
 	}
 	s, err := n.platform.DecodeServer(e.Object, now)
--- a/node/watch_test.go
+++ b/node/watch_test.go
@@ -31,10 +31,14 @@
 	}, nil
 }
 
+// testHeartbeat is the time between two writes of the tests' servers.
+const testHeartbeat = 550 * time.Millisecond
+
 // newWatcher returns a watcher of a node that needs the store, and that store.
 func newWatcher(t *testing.T, name string) (*watcher, *Node, *memstore.Store) {
 	st := memstore.New()
 	n := &Node{view: view.New(), log: declog.New(io.Discard, "a"), platform: serverPlatform{memPlatform{st}}}
+	n.contact = newStoreContact(testHeartbeat, n.view, n.log)
 	for _, w := range n.newWatchers() {
 		if w.name == name {
 			w.needed, w.wait = func() bool { return true }, time.Millisecond
@@ -46,9 +50,10 @@
 	return nil, nil, nil
 }
 
-// Guards against dropping servers whose entries expired in an outage of the store, if
-// the first response after it already tells so.
-func TestServerThatExpiredInAnOutageIsKept(t *testing.T) {
+// interrupted runs the watcher of the servers, makes calls to the store fail for a time,
+// removes the entry of a server meanwhile, and reports whether the server is in use right
+// after the store answers again.
+func interrupted(t *testing.T, lasts time.Duration, meanwhile func(*Node)) (inUse bool) {
 	w, n, st := newWatcher(t, "servers")
 	var out bytes.Buffer
 	w.log = declog.New(&out, "a")
@@ -65,13 +70,70 @@
 	require.Eventually(t, usable, time.Minute, time.Millisecond)
 	st.SetFaults(memstore.Faults{Down: true})
 	require.Eventually(t, logged("store_lost"), time.Minute, time.Millisecond)
-	time.Sleep(minOutage)
+	time.Sleep(lasts)
 	require.NoError(t, other.Delete(ctx, "s/a", o.Version, "expiry"))
+	meanwhile(n)
 	st.SetFaults(memstore.Faults{})
 	require.Eventually(t, logged("store_regained"), time.Minute, time.Millisecond)
-	require.True(t, usable())
+	inUse = usable()
 	cancel()
 	require.ErrorIs(t, <-done, context.Canceled)
+	return inUse
+}
+
+// Guards against dropping servers whose entries expired in an outage of the store, if
+// the first response after it already tells so.
+func TestServerThatExpiredInAnOutageIsKept(t *testing.T) {
+	require.True(t, interrupted(t, 3*testHeartbeat, func(*Node) {}))
+}
+
+// Guards against VMs that send requests for over two seconds to a server that left, because
+// the leader alone could not reach the store when the entry was removed (review, case 15).
+func TestServerThatLeftWhileTheStoreDidNotAnswerThisVMIsDropped(t *testing.T) {
+	require.False(t, interrupted(t, 400*time.Millisecond, func(*Node) {}), "no entry expires in so short a time")
+	require.False(t, interrupted(t, 3*testHeartbeat, func(n *Node) {
+		now := bootNow()
+		n.contact.Learn(now, []time.Time{now.Add(-2 * testHeartbeat), now.Add(-testHeartbeat), now}, time.Time{})
+	}), "the store answered another VM meanwhile")
+}
+
+// Guards against a server that stays in use although another VM tells, right after the store
+// answers this one again, that the store was available all the while.
+func TestServerIsDroppedOnceAnotherVMTellsThatTheStoreAnswered(t *testing.T) {
+	n := &Node{view: view.New(), log: declog.New(io.Discard, "a")}
+	c := newStoreContact(testHeartbeat, n.view, n.log)
+	now := bootNow()
+	c.called(now.Add(-3*testHeartbeat), nil)
+	c.called(now.Add(-time.Millisecond), store.ErrUnavailable)
+	c.called(now, nil)
+	n.view.Directory(func(d *directory.Directory) {
+		d.Put(directory.Server{ID: "a", State: directory.Ready, Rev: 1})
+		d.Remove("a", 2, now)
+	})
+	require.NotNil(t, n.view.Snapshot().Usable("a"))
+	c.Learn(now, []time.Time{now.Add(-2 * testHeartbeat), now.Add(-testHeartbeat)}, time.Time{})
+	require.Nil(t, n.view.Snapshot().Usable("a"))
+}
+
+// Guards against a new leader that drops servers whose entries expired in an outage which
+// only the leader before saw, and against one that takes failures of long ago, when it last
+// read the store, for an outage.
+func TestNewLeaderKnowsOfAnOutageFromTheOneBefore(t *testing.T) {
+	c := newStoreContact(testHeartbeat, view.New(), declog.New(io.Discard, "a"))
+	now := bootNow()
+	c.called(now.Add(-time.Minute), store.ErrUnavailable)
+	c.Learn(now, []time.Time{now.Add(-time.Second)}, now.Add(-time.Minute))
+	c.called(now, nil)
+	require.Zero(t, c.outageEnd, "the store has answered the leader before")
+
+	answers, failure := c.Known(now)
+	require.Equal(t, []time.Time{now}, answers, "no failure since")
+	require.Equal(t, now.Add(-time.Minute), failure)
+	c.Learn(now, []time.Time{now.Add(time.Second)}, now.Add(1400*time.Millisecond))
+	answers, _ = c.Known(now.Add(2 * time.Second))
+	require.Equal(t, []time.Time{now.Add(-time.Second), now, now.Add(time.Second)}, answers)
+	c.called(now.Add(4*time.Second), nil)
+	require.Equal(t, now.Add(4*time.Second), c.outageEnd)
 }
 
 // Guards against a server that is kept for good on a VM which does not lead.
@@ -80,7 +142,7 @@
 	n.view.Directory(func(d *directory.Directory) {
 		d.Put(directory.Server{ID: "s/a", State: directory.Ready, Rev: 1})
 		past := bootNow().Add(-directory.StoreRecoveryGrace - time.Second)
-		d.StoreRecovered(past)
+		d.SetOutageEnd(past)
 		d.Remove("s/a", 2, past)
 	})
 	require.NotNil(t, n.view.Snapshot().Usable("s/a"))
