--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -54,7 +54,7 @@
 	// StoreContact, unless nil, holds when the store answered. It must be set before the
 	// follower is used.
 	StoreContact StoreContact
-	// wantsContact says that the VM called last asked this one to call the store.
+	// wantsContact says that a leader or relay asked this VM to call the store.
 	wantsContact atomic.Bool
 	compressor   configCompressor
 	// recordLeaseVersion records the version of the lease of a leader in its term.
--- a/fleet/storecontact.go
+++ b/fleet/storecontact.go
@@ -103,6 +103,6 @@
 	req.StoreContact = encodeContact(now, f.StoreContact.Own(now), time.Time{})
 }
 
-// WantsContact reports whether the VM that answered last has asked this one to call the
-// store, and has not been served yet.
-func (f *Follower) WantsContact() bool { return f.wantsContact.Swap(false) }
+// TakeContactRequest reports whether a leader or relay has asked this VM to call the store
+// since the last call of TakeContactRequest.
+func (f *Follower) TakeContactRequest() bool { return f.wantsContact.Swap(false) }
--- a/fleet/storecontact_test.go
+++ b/fleet/storecontact_test.go
@@ -51,7 +51,7 @@
 			return resp
 		}
 		follow()
-		require.False(t, f.WantsContact(), name)
+		require.False(t, f.TakeContactRequest(), name)
 		require.Len(t, asking.learnedAnswers, 2, name)
 		require.WithinDuration(t, now.Add(-time.Second), asking.learnedAnswers[1], 500*time.Millisecond, name)
 		require.Zero(t, asking.learnedFailure, name)
@@ -60,8 +60,8 @@
 
 		asking.failing = true
 		follow()
-		require.True(t, f.WantsContact(), name)
-		require.False(t, f.WantsContact(), "one call is enough")
+		require.True(t, f.TakeContactRequest(), name)
+		require.False(t, f.TakeContactRequest(), "one call is enough")
 	}
 }
 
--- a/node/storecontact.go
+++ b/node/storecontact.go
@@ -176,7 +176,7 @@
 // callStoreIfAsked calls the store if the VM that was called last asked for that, and waits
 // for the result for a moment, so that the next call to that VM can tell it.
 func (n *Node) callStoreIfAsked(ctx context.Context) {
-	if !n.follower.WantsContact() || !n.contact.beginCall() {
+	if !n.follower.TakeContactRequest() || !n.contact.beginCall() {
 		return
 	}
 	done := make(chan struct{})
