--- a/fleet/newer_test.go
+++ b/fleet/newer_test.go
@@ -109,7 +109,7 @@
 // Guards against a configuration that changes on the way between VMs, so that an empty list
 // arrives as none: from the leader, from a relay, and from a VM that knows a newer one.
 func TestConfigurationReachesOtherVMsAsItIsStored(t *testing.T) {
-	raw := []byte(`{"version":3,"tenants":[],"routes":null}`)
+	raw := []byte(`{"version":3,"customers":[],"routes":null}`)
 	known := func() *view.View {
 		v := view.New()
 		v.SetConfig(&routemap.Map{Version: 3}, raw, 70)
