cli: -burst 0 and -weight 0 are not missing flags

"godwitlock customer rate -rate 30 -burst 0" stored a burst of 60, twice the rate, and -weight 0 left the weight as it was: 0 was taken for a missing flag.

A burst that is given is checked as it is, and a weight below 1 is a usage error. caller-keys.txtar failed before, at the burst.

--- a/cli/customer.go
+++ b/cli/customer.go
@@ -30,10 +30,12 @@
 
 // customerFlags holds the values of the customer command's flags.
 type customerFlags struct {
-	rate, burst float64
-	weight      int
-	base        uint64
-	// services is nil if the flag is missing; an empty list of names withdraws all.
+	rate float64
+	base uint64
+	// The others are nil if their flags are missing. An empty list of services withdraws
+	// all of them.
+	burst    *float64
+	weight   *int
 	services *string
 }
 
@@ -54,8 +56,16 @@
   godwitlock customer list`,
 		flags: func(f *flag.FlagSet) {
 			f.Float64Var(&c.rate, "rate", 0, "`requests` per second over all VMs")
-			f.Float64Var(&c.burst, "burst", 0, "`requests` at once; twice the rate by default")
-			f.IntVar(&c.weight, "weight", 0, "`share` in fair queues; by default 1 for a new customer, otherwise unchanged")
+			f.Func("burst", "`requests` at once; twice the rate by default", func(s string) error {
+				v, err := strconv.ParseFloat(s, 64)
+				c.burst = &v
+				return err
+			})
+			f.Func("weight", "`share` in fair queues; by default 1 for a new customer, otherwise unchanged", func(s string) error {
+				v, err := strconv.Atoi(s)
+				c.weight = &v
+				return err
+			})
 			f.Func("services", "`names` of services, separated by commas; \"\" for none", func(s string) error {
 				c.services = &s
 				return nil
@@ -77,8 +87,8 @@
 	if err := expectArgs(args, "CUSTOMER"); err != nil {
 		return err
 	}
-	if c.burst == 0 {
-		c.burst = 2 * c.rate
+	if c.weight != nil && *c.weight < 1 {
+		return usagef("-weight %d is below 1", *c.weight)
 	}
 	if c.rate == 0 && (verb == "create" || verb == "rate") {
 		return usagef("-rate is needed")
@@ -105,14 +115,20 @@
 }
 
 func (s *session) changeCustomer(ctx context.Context, verb string, id topo.CustomerID, c customerFlags) (operate.Receipt, error) {
-	services := c.serviceNames()
+	services, burst, weight := c.serviceNames(), 2*c.rate, 0
+	if c.burst != nil {
+		burst = *c.burst
+	}
+	if c.weight != nil {
+		weight = *c.weight
+	}
 	switch verb {
 	case "create":
 		return s.operator.CreateCustomer(ctx, config.Customer{
-			ID: id, Rate: c.rate, Burst: c.burst, Weight: c.weight, Services: services,
+			ID: id, Rate: c.rate, Burst: burst, Weight: weight, Services: services,
 		}, s.reason)
 	case "rate":
-		return s.operator.SetRate(ctx, id, c.rate, c.burst, c.weight, c.base, s.reason)
+		return s.operator.SetRate(ctx, id, c.rate, burst, weight, c.base, s.reason)
 	case "services":
 		return s.operator.SetServices(ctx, id, services, c.base, s.reason)
 	}
