node: one place decides which store calls are recorded

The watchers and the lease each dropped calls that were given up as the process ends, by different conditions, and a call on behalf of another VM went on after the end of its task. storeContact.called takes the context now, and is set on all users, so that nothing checks for nil. A flag replaces two methods. No change of what is concluded from a call.

--- a/node/lease.go
+++ b/node/lease.go
@@ -37,9 +37,8 @@
 	members func(topo.Term) int
 	// pristine reports whether the store cannot have lost a lease. It may be nil.
 	pristine func() bool
-	// called is called with the result of each call whose response cannot be stale. It may
-	// be nil.
-	called func(now time.Time, err error)
+	// called records the result of each call whose response cannot be stale.
+	called func(ctx context.Context, err error)
 	// onLost is called when this process no longer leads. It may be nil.
 	onLost func()
 	wake   chan struct{}
@@ -52,7 +51,7 @@
 func newLeaseManager(objects store.Objects, key string, self leader.Identity, candidacy func() leader.Candidacy, members func(topo.Term) int, log *declog.Log, leaderStale func() bool) *leaseManager {
 	return &leaseManager{
 		objects: objects, key: key, log: log, leaderStale: leaderStale, candidacy: candidacy, members: members,
-		lease: leader.New(self, candidacy()), wake: make(chan struct{}, 1),
+		lease: leader.New(self, candidacy()), wake: make(chan struct{}, 1), called: func(context.Context, error) {},
 	}
 }
 
@@ -226,7 +225,7 @@
 	defer cancel()
 	o, err := m.objects.Get(ctx, m.key)
 	if urgent {
-		m.recordCall(ctx, err)
+		m.called(ctx, err)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -247,13 +246,6 @@
 	}
 }
 
-// recordCall passes on the result of a call, unless the process ends.
-func (m *leaseManager) recordCall(ctx context.Context, err error) {
-	if m.called != nil && !errors.Is(ctx.Err(), context.Canceled) {
-		m.called(clock.Boot(), err)
-	}
-}
-
 // absentLease returns the state of a lease that the store does not have.
 func (m *leaseManager) absentLease() leader.VersionedRecord {
 	era := store.EraOf(m.objects)
@@ -277,7 +269,7 @@
 		version = store.MustNotExist
 	}
 	o, err := m.objects.Put(ctx, m.key, value, version, uuid.NewString())
-	m.recordCall(ctx, err)
+	m.called(ctx, err)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := clock.Boot()
--- a/node/storecontact.go
+++ b/node/storecontact.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
+
 	"godwitlock.example/godwitlock/clock"
 	"godwitlock.example/godwitlock/declog"
 	"godwitlock.example/godwitlock/directory"
@@ -42,26 +45,31 @@
 	own, all *outage.Record
 	// outageEnd is the end of the last outage that the directory was told of.
 	outageEnd time.Time
+
 	// calling says that a call on behalf of another VM is under way.
-	calling bool
+	calling atomic.Bool
 }
 
 func newStoreContact(heartbeat time.Duration, v *view.View, log *declog.Log) *storeContact {
 	return &storeContact{view: v, log: log, own: outage.NewRecord(heartbeat), all: outage.NewRecord(heartbeat)}
 }
 
-// called records a call of this VM that ended at now.
-func (c *storeContact) called(now time.Time, err error) {
-	if c.record(now, store.Answered(err)) && c.onFailing != nil {
+// called records a call of this VM that has ended, unless it was given up because ctx was
+// cancelled.
+func (c *storeContact) called(ctx context.Context, err error) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	if c.record(clock.Boot(), err) && c.onFailing != nil {
 		c.onFailing()
 	}
 }
 
-// record records a call and reports whether calls begin to fail with it.
-func (c *storeContact) record(now time.Time, answered bool) (begins bool) {
+// record records a call that ended at now and reports whether calls begin to fail with it.
+func (c *storeContact) record(now time.Time, err error) (begins bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if answered {
+	if store.Answered(err) {
 		c.own.Answered(now)
 		c.all.Answered(now)
 		c.updateDirectory(now)
@@ -157,36 +165,20 @@
 	c.updateDirectory(to)
 }
 
-// beginCall reports whether a call on behalf of another VM may begin: there is one at a
-// time.
-func (c *storeContact) beginCall() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	begins := !c.calling
-	c.calling = true
-	return begins
-}
-
-func (c *storeContact) endCall() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.calling = false
-}
-
 // callStoreIfAsked calls the store if the VM that was called last asked for that, and waits
 // for the result for a moment, so that the next call to that VM can tell it.
 func (n *Node) callStoreIfAsked(ctx context.Context) {
-	if !n.follower.TakeContactRequest() || !n.contact.beginCall() {
+	if !n.follower.TakeContactRequest() || !n.contact.calling.CompareAndSwap(false, true) {
 		return
 	}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		defer n.contact.endCall()
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), contactCallTimeout)
+		defer n.contact.calling.Store(false)
+		ctx, cancel := context.WithTimeout(ctx, contactCallTimeout)
 		defer cancel()
 		_, err := n.platform.Objects().Get(ctx, n.lease.key)
-		n.contact.called(clock.Boot(), err)
+		n.contact.called(ctx, err)
 	}()
 	wait, cancel := context.WithTimeout(ctx, contactWait)
 	defer cancel()
--- a/node/watch.go
+++ b/node/watch.go
@@ -50,9 +50,8 @@
 	// advance receives the revision up to which all changes are known, and a
 	// time at which that revision was current.
 	advance func(rev topo.Revision, at time.Time)
-	// called is called with the result of each call to the store, before a response is
-	// applied. It may be nil.
-	called func(now time.Time, err error)
+	// called records the result of each call to the store, before a response is applied.
+	called func(ctx context.Context, err error)
 	// wait is how long a watch waits for changes, and waitLimit, unless nil, returns a
 	// limit of it.
 	wait      time.Duration
@@ -124,7 +123,7 @@
 			pause(ctx, w.pauseDuration())
 			continue
 		}
-		w.recordCall(ctx, clock.Boot(), err)
+		w.called(ctx, err)
 		if failures++; failures == 1 {
 			w.failedSince = sent
 			w.log.Event("store_lost").Str("watch", w.name).Err(err).Send()
@@ -153,14 +152,6 @@
 	w.lastResponse = now
 }
 
-// recordCall passes on the result of a call, unless the call was given up because the
-// process ends.
-func (w *watcher) recordCall(ctx context.Context, now time.Time, err error) {
-	if w.called != nil && ctx.Err() == nil {
-		w.called(now, err)
-	}
-}
-
 func (w *watcher) list(ctx context.Context) (topo.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
@@ -170,7 +161,7 @@
 		return 0, err
 	}
 	now := clock.Boot()
-	w.recordCall(ctx, now, nil)
+	w.called(ctx, nil)
 	l.apply(rev, now)
 	return rev, nil
 }
@@ -185,7 +176,7 @@
 		return rev, err
 	}
 	now := clock.Boot()
-	w.recordCall(ctx, now, nil)
+	w.called(ctx, nil)
 	for _, e := range c.Events {
 		w.applyEvent(e, now)
 	}
--- a/node/watch_test.go
+++ b/node/watch_test.go
@@ -103,9 +103,9 @@
 	n := &Node{view: view.New(), log: declog.New(io.Discard, "a")}
 	c := newStoreContact(testHeartbeat, n.view, n.log)
 	now := bootNow()
-	c.called(now.Add(-3*testHeartbeat), nil)
-	c.called(now.Add(-time.Millisecond), store.ErrUnavailable)
-	c.called(now, nil)
+	c.record(now.Add(-3*testHeartbeat), nil)
+	c.record(now.Add(-time.Millisecond), store.ErrUnavailable)
+	c.record(now, nil)
 	n.view.Directory(func(d *directory.Directory) {
 		d.Put(directory.Server{ID: "a", State: directory.Ready, Rev: 1})
 		d.Remove("a", 2, now)
@@ -121,9 +121,9 @@
 func TestNewLeaderKnowsOfAnOutageFromTheOneBefore(t *testing.T) {
 	c := newStoreContact(testHeartbeat, view.New(), declog.New(io.Discard, "a"))
 	now := bootNow()
-	c.called(now.Add(-time.Minute), store.ErrUnavailable)
+	c.record(now.Add(-time.Minute), store.ErrUnavailable)
 	c.Learn(now, []time.Time{now.Add(-time.Second)}, now.Add(-time.Minute))
-	c.called(now, nil)
+	c.record(now, nil)
 	require.Zero(t, c.outageEnd, "the store has answered the leader before")
 
 	answers, failure := c.Known(now)
@@ -132,7 +132,7 @@
 	c.Learn(now, []time.Time{now.Add(time.Second)}, now.Add(1400*time.Millisecond))
 	answers, _ = c.Known(now.Add(2 * time.Second))
 	require.Equal(t, []time.Time{now.Add(-time.Second), now, now.Add(time.Second)}, answers)
-	c.called(now.Add(4*time.Second), nil)
+	c.record(now.Add(4*time.Second), nil)
 	require.Equal(t, now.Add(4*time.Second), c.outageEnd)
 }
 
